--- /dev/null
+++ b/packages/node/src/turmericcrank_node/rating_desk.py
@@ -0,0 +1,211 @@
+"""Chooses the tier of a request and learns from ratings."""
+
+from dataclasses import dataclass
+
+import xxhash
+from turmericcrank_core.cascade import (
+    CascadePolicy,
+    CascadeSettings,
+    choose_way,
+    learn_cost,
+    learn_escalation,
+    learn_final,
+    learn_rating,
+)
+from turmericcrank_core.requests import ModelRequest
+from turmericcrank_core.rollouts import (
+    RolloutProgress,
+    choose_first_pool,
+    make_rollout_key,
+)
+from turmericcrank_core.tables import Pool, Route, Weighs
+
+from turmericcrank_node.context import NodeContext
+from turmericcrank_node.evidence_desk import count_rating
+
+__all__ = (
+    'ChosenTier',
+    'RatedAnswer',
+    'choose_tier',
+    'find_class_key',
+    'learn_answer_cost',
+    'find_progress',
+    'learn_given',
+    'learn_refused',
+    'rate_later',
+    'rate_now',
+)
+
+_SAMPLED_SHARE = 0.1
+_ROLLOUT_SHARE = 0.5
+_MAX_CLASSES = 256
+
+
+@dataclass(slots=True, frozen=True)
+class ChosenTier:
+    """Where a request is answered first.
+
+    Attributes:
+        pool: Pool that answers first.
+        tier: Its place in the cascade.
+        threshold: Rating under which the best tier answers; 0 for never.
+        policy: Policy that learns; None without a cascade.
+        class_key: Class of the request in the policy.
+    """
+
+    pool: Pool
+    tier: int = 0
+    threshold: int = 0
+    policy: CascadePolicy | None = None
+    class_key: str = ''
+
+
+@dataclass(slots=True, frozen=True)
+class RatedAnswer:
+    """An answer that may be rated.
+
+    Attributes:
+        chosen: Tier that gave it.
+        upstream_id: Upstream that gave it.
+        prompt: Text of the prompt.
+        text: Text of the answer.
+    """
+
+    chosen: ChosenTier
+    upstream_id: str
+    prompt: str
+    text: str
+
+
+def choose_tier(
+    ctx: NodeContext,
+    route: Route,
+    allowed: list[Pool],
+    request: ModelRequest,
+    team: str,
+) -> ChosenTier:
+    """Choose the pool of a request that is bound to no version.
+
+    Args:
+        ctx: The node.
+        route: Route of the request.
+        allowed: Pools that may take new work; stopped ones are left out
+            while another remains.
+        request: The request.
+        team: Team of the caller.
+    """
+    usable = [
+        pool for pool in allowed if pool.stop_key not in ctx.reasons_by_stop
+    ]
+    by_name = {pool.name: pool for pool in usable or allowed}
+    tiers = [name for name in route.pools if name in by_name]
+    if not tiers:
+        return ChosenTier(next(iter(by_name.values())))
+    if len(tiers) == 1 or route.quality_target is None:
+        return ChosenTier(_follow_rollout(ctx, route, tiers[0], by_name))
+    policy = _find_policy(ctx, route, len(tiers), request.stream)
+    class_key = find_class_key(policy, request, team)
+    way = choose_way(policy, class_key, ctx.random_source)
+    pool = _follow_rollout(ctx, route, tiers[way.tier], by_name)
+    return ChosenTier(pool, way.tier, way.threshold, policy, class_key)
+
+
+def find_class_key(
+    policy: CascadePolicy, request: ModelRequest, team: str
+) -> str:
+    """Name the class of a request by what tells how hard it is.
+
+    The first system message tells the application, the length the kind of
+    work. Classes are bounded in number; the rest shares one.
+    """
+    first = request.asked['messages'][0]
+    system = ''
+    if first.get('role') == 'system':
+        system = xxhash.xxh32_hexdigest(str(first['content']).encode())
+    size = len(request.prompt).bit_length()
+    key = f'{team}/{system}/{size}'
+    known = policy.classes_by_key
+    if key not in known and len(known) >= _MAX_CLASSES:
+        return 'other'
+    return key
+
+
+def learn_answer_cost(chosen: ChosenTier, cost_microcents: float) -> None:
+    """Learn what an answer of a tier has cost."""
+    if chosen.policy is not None:
+        learn_cost(
+            chosen.policy, chosen.class_key, chosen.tier, cost_microcents
+        )
+
+
+async def rate_now(ctx: NodeContext, answer: RatedAnswer) -> float | None:
+    """Rate an answer before it is given; None when ratings are down."""
+    rated = await ctx.store.rate(answer.prompt, answer.text)
+    if rated.is_error():
+        return None
+    chosen = answer.chosen
+    count_rating(ctx, chosen.pool, answer.upstream_id, rated.ok)
+    if chosen.policy is not None:
+        learn_rating(chosen.policy, chosen.class_key, chosen.tier, rated.ok)
+    return rated.ok
+
+
+def learn_refused(
+    answer: RatedAnswer, refused: float, rating: float | None
+) -> None:
+    """Learn how the best tier did after a cheap answer was refused."""
+    policy = answer.chosen.policy
+    if policy is not None and rating is not None:
+        learn_escalation(policy, answer.chosen.class_key, refused, rating)
+
+
+def learn_given(chosen: ChosenTier, rating: float | None) -> None:
+    """Learn the rating of an answer as the caller gets it."""
+    if chosen.policy is not None and rating is not None:
+        learn_final(chosen.policy, rating)
+
+
+def rate_later(ctx: NodeContext, answer: RatedAnswer, route: Route) -> None:
+    """Rate a sample of the answers after they have been given."""
+    share = _SAMPLED_SHARE
+    if route.rollout is not None:
+        share = _ROLLOUT_SHARE
+    if ctx.random_source.random() < share:
+        ctx.start_soon(_rate_sample, answer)
+
+
+def find_progress(ctx: NodeContext, route: Route) -> RolloutProgress | None:
+    """Find how far the roll-out of a route is."""
+    if route.rollout is None:
+        return None
+    return ctx.progress_by_key.get(make_rollout_key(route.name, route.rollout))
+
+
+async def _rate_sample(ctx: NodeContext, answer: RatedAnswer) -> None:
+    learn_given(answer.chosen, await rate_now(ctx, answer))
+
+
+def _follow_rollout(
+    ctx: NodeContext, route: Route, name: str, by_name: dict[str, Pool]
+) -> Pool:
+    moved = choose_first_pool(
+        route, name, find_progress(ctx, route), ctx.random_source.random()
+    )
+    return by_name.get(moved, by_name[name])
+
+
+def _find_policy(
+    ctx: NodeContext, route: Route, n_tiers: int, stream: bool
+) -> CascadePolicy:
+    may_verify = route.weighs is Weighs.cost and not stream
+    key = f'{route.name}/{n_tiers}/{may_verify}'
+    policy = ctx.policies_by_route.get(key)
+    target = route.quality_target or 0
+    if policy is None or policy.settings.target != target:
+        policy = CascadePolicy(
+            CascadeSettings(
+                target=target, n_tiers=n_tiers, may_verify=may_verify
+            )
+        )
+        ctx.policies_by_route[key] = policy
+    return policy
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/replies.py
@@ -0,0 +1,102 @@
+"""Replies to callers: whole, streamed, or a refusal in the usual form."""
+
+import json
+import math
+from collections.abc import AsyncIterator, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from quart import Response
+from turmericcrank_core.codes import CODES, Ran, ResultCode
+from turmericcrank_core.errors import Refusal
+
+__all__ = (
+    'Reply',
+    'make_error_event',
+    'make_refusal_reply',
+    'make_reply',
+    'make_response',
+)
+
+_JSON = 'application/json'
+_EVENTS = 'text/event-stream'
+
+
+@dataclass(slots=True)
+class Reply:
+    """What a caller gets.
+
+    Attributes:
+        code: Result code.
+        status: HTTP status.
+        body: Whole body, or its parts as they come.
+        content_type: Media type of the body.
+        headers_by_name: Further headers.
+    """
+
+    code: ResultCode
+    status: int
+    body: bytes | AsyncIterator[bytes]
+    content_type: str = _JSON
+    headers_by_name: dict[str, str] = field(default_factory=dict)
+
+
+def make_reply(code: ResultCode, body: Any) -> Reply:
+    """Make a reply with a JSON body."""
+    return Reply(code, CODES[code].http_status, json.dumps(body).encode())
+
+
+def make_refusal_reply(
+    refusal: Refusal, addresses: Iterable[str] = ()
+) -> Reply:
+    """Make the error body that client libraries know.
+
+    Args:
+        refusal: Why the request gets no answer.
+        addresses: Other entry nodes to use.
+    """
+    reply = make_reply(
+        refusal.code, {'error': _describe_refusal(refusal, addresses)}
+    )
+    if refusal.retry_after_s is not None:
+        wait_s = max(1, math.ceil(refusal.retry_after_s))
+        reply.headers_by_name['Retry-After'] = str(wait_s)
+    return reply
+
+
+def make_error_event(refusal: Refusal) -> bytes:
+    """Make the event that ends a stream that is not whole."""
+    body = {'error': _describe_refusal(refusal, ())}
+    return b'data: %s\n\n' % json.dumps(body).encode()
+
+
+def make_response(reply: Reply, request_id: str) -> Response:
+    """Make the web response of a reply, with its result code."""
+    response = Response(
+        reply.body, status=reply.status, content_type=reply.content_type
+    )
+    response.timeout = None
+    ran = CODES[reply.code].ran or Ran.unknown
+    response.headers['X-Result-Code'] = str(int(reply.code))
+    response.headers['X-Ran'] = str(ran)
+    response.headers['X-Request-Id'] = request_id
+    for name, text in reply.headers_by_name.items():
+        response.headers[name] = text
+    return response
+
+
+def _describe_refusal(
+    refusal: Refusal, addresses: Iterable[str]
+) -> dict[str, Any]:
+    described = {
+        'message': refusal.message,
+        'type': refusal.code.name,
+        'param': None,
+        'code': int(refusal.code),
+        'ran': None if refusal.ran is None else str(refusal.ran),
+        'retry_after_s': refusal.retry_after_s,
+    }
+    others = list(addresses)
+    if others:
+        described['addresses'] = others
+    return described
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/service_desk.py
@@ -0,0 +1,292 @@
+"""Relays calls of plain services; some of them run at most once."""
+
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import httpx
+import trio
+from expression import Error, Ok, Result
+from turmericcrank_core.billing import Bill
+from turmericcrank_core.claims import (
+    KeptAnswer,
+    hash_body,
+    is_too_late,
+    make_claim_key,
+)
+from turmericcrank_core.codes import ResultCode
+from turmericcrank_core.errors import Refusal
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.requests import list_allowed_pools, plan_room_share
+from turmericcrank_core.retries import earn_retry, plan_delay_s, spend_retry
+from turmericcrank_core.selection import PoolRing
+from turmericcrank_core.tables import Route, RouteKind
+
+from turmericcrank_node.bill_desk import commit_bill
+from turmericcrank_node.claim_desk import (
+    WonClaim,
+    finish_claim,
+    give_back_claim,
+    name_claim_batch,
+    win_claim,
+)
+from turmericcrank_node.context import NodeContext
+from turmericcrank_node.dispatch import (
+    Wanted,
+    eject_upstream,
+    end_dispatch,
+    find_budget,
+    start_dispatch,
+)
+from turmericcrank_node.gate import Caller
+from turmericcrank_node.replies import Reply
+from turmericcrank_node.upstream_calls import (
+    Answered,
+    NotSent,
+    send_upstream,
+)
+
+__all__ = ('ServiceCall', 'answer_service', 'find_service_route')
+
+_MAX_ATTEMPTS = 4
+_BASE_DELAY_S = 0.05
+_MAX_DELAY_S = 1
+_COME_BACK_S = 1
+_SERVER_ERROR = 500
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceCall:
+    """One call of a plain service.
+
+    Attributes:
+        caller: Who calls.
+        route: Route of the call.
+        method: HTTP method.
+        path: Path and query at the service.
+        content_type: Media type of the body.
+        body: Whole body.
+    """
+
+    caller: Caller
+    route: Route
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+
+
+def find_service_route(
+    ctx: NodeContext, name: str, caller: Caller
+) -> Result[Route, Refusal]:
+    """Find the route of a service that the team may use."""
+    route = ctx.revision.tables.routes_by_name.get(name)
+    kinds = {RouteKind.idempotent_service, RouteKind.non_idempotent_service}
+    if route is None or route.kind not in kinds:
+        return Error(Refusal(ResultCode.unknown_route, name))
+    if caller.team not in route.teams:
+        return Error(Refusal(ResultCode.team_not_allowed))
+    is_claimed = route.kind is RouteKind.non_idempotent_service
+    if is_claimed and not caller.idempotency_key:
+        return Error(Refusal(ResultCode.idempotency_key_missing))
+    return Ok(route)
+
+
+async def answer_service(
+    ctx: NodeContext, call: ServiceCall
+) -> Result[Reply, Refusal]:
+    """Answer one call of a plain service."""
+    allowed = list_allowed_pools(
+        ctx.revision.tables, call.route, None, in_session=False
+    )
+    if allowed.is_error():
+        return Error(allowed.error)
+    ring = ctx.rings_by_pool[allowed.ok[0].name]
+    if call.route.kind is RouteKind.non_idempotent_service:
+        return await _answer_once(ctx, call, ring)
+    return await _answer_repeatable(ctx, call, ring)
+
+
+async def _answer_repeatable(
+    ctx: NodeContext, call: ServiceCall, ring: PoolRing
+) -> Result[Reply, Refusal]:
+    budget = find_budget(ctx, ring.pool.name)
+    earn_retry(budget)
+    tried: frozenset[str] = frozenset()
+    refusal = Refusal(ResultCode.no_upstream, retry_after_s=_COME_BACK_S)
+    for attempt in range(_MAX_ATTEMPTS):
+        if attempt > 0:
+            if not spend_retry(budget):
+                break
+            uniform = ctx.random_source.random()
+            await trio.sleep(
+                plan_delay_s(attempt, _BASE_DELAY_S, _MAX_DELAY_S, uniform)
+            )
+        sent = await _send_once(ctx, call, ring, tried)
+        if sent.answer is not None and sent.answer.status < _SERVER_ERROR:
+            await commit_bill(ctx, _make_bill(call, ring))
+            return Ok(_make_service_reply(sent.answer, ResultCode.answered))
+        refusal = sent.refusal
+        if refusal.code is ResultCode.outcome_unknown:
+            refusal = Refusal(
+                ResultCode.upstream_failed, retry_after_s=_COME_BACK_S
+            )
+        tried |= {sent.upstream_id}
+    return Error(refusal)
+
+
+async def _answer_once(
+    ctx: NodeContext, call: ServiceCall, ring: PoolRing
+) -> Result[Reply, Refusal]:
+    key = make_claim_key(call.caller.team, call.caller.idempotency_key)
+    body_hash = hash_body(
+        call.method, f'{call.route.name}/{call.path}', call.body
+    )
+    decided = await win_claim(ctx, key, body_hash, call.route.deadline_s)
+    if decided.is_error():
+        return Error(decided.error)
+    if isinstance(decided.ok, KeptAnswer):
+        return Ok(_make_service_reply(decided.ok, ResultCode.replayed))
+    sender, receiver = trio.open_memory_channel(1)
+    ctx.start_soon(_send_detached, call, ring, decided.ok, sender)
+    return await receiver.receive()
+
+
+async def _send_detached(
+    ctx: NodeContext,
+    call: ServiceCall,
+    ring: PoolRing,
+    won: WonClaim,
+    sender: Any,
+) -> None:
+    """Send a claimed call to its end, even when its caller goes away."""
+    sender.send_nowait(await _send_claimed(ctx, call, ring, won))
+
+
+async def _send_claimed(
+    ctx: NodeContext, call: ServiceCall, ring: PoolRing, won: WonClaim
+) -> Result[Reply, Refusal]:
+    """Send a claimed call; only a proven 'not sent' may be tried again."""
+    tried: frozenset[str] = frozenset()
+    refusal = Refusal(ResultCode.unreachable, retry_after_s=_COME_BACK_S)
+    for _attempt in range(_MAX_ATTEMPTS):
+        if is_too_late(
+            won.claimed_s, time.monotonic(), ctx.settings.claim_limit_s
+        ):
+            break
+        sent = await _send_once(ctx, call, ring, tried)
+        if sent.answer is not None:
+            bill = _make_bill(call, ring)
+            await commit_bill(ctx, bill, name_claim_batch(won.key))
+            ctx.start_soon(finish_claim, won, sent.answer, bill)
+            return Ok(_make_service_reply(sent.answer, ResultCode.answered))
+        refusal = sent.refusal
+        if refusal.code is ResultCode.outcome_unknown:
+            return Error(refusal)
+        if not sent.upstream_id:
+            break
+        tried |= {sent.upstream_id}
+    ctx.start_soon(give_back_claim, won)
+    return Error(refusal)
+
+
+@dataclass(slots=True, frozen=True)
+class _Sent:
+    """Outcome of one sending.
+
+    Attributes:
+        answer: The whole answer; None when there is none.
+        refusal: What the caller is told without an answer.
+        upstream_id: Where it was sent; empty when there was no room.
+    """
+
+    answer: KeptAnswer | None
+    refusal: Refusal
+    upstream_id: str
+
+
+async def _send_once(
+    ctx: NodeContext, call: ServiceCall, ring: PoolRing, tried: frozenset[str]
+) -> _Sent:
+    caller = call.caller
+    wanted = Wanted(
+        caller.request_id, '', '', plan_room_share(call.route.priority)
+    )
+    started = start_dispatch(ctx, ring, wanted, tried)
+    if started.is_error():
+        return _Sent(None, started.error, '')
+    upstream = started.ok.upstream
+    ctx.log.write(
+        EventCode.request_sent,
+        request=caller.request_id,
+        upstream=upstream.upstream_id,
+        version=ring.pool.model_version,
+    )
+    answer = None
+    refusal = Refusal(ResultCode.outcome_unknown, retry_after_s=_COME_BACK_S)
+    try:
+        with trio.move_on_after(call.route.deadline_s):
+            outcome = await _exchange(ctx, call, upstream.address)
+            if isinstance(outcome, Refusal):
+                refusal = outcome
+                eject_upstream(ctx, upstream.upstream_id)
+            else:
+                answer = outcome
+    finally:
+        end_dispatch(ctx, started.ok)
+    return _Sent(answer, refusal, upstream.upstream_id)
+
+
+async def _exchange(
+    ctx: NodeContext, call: ServiceCall, address: str
+) -> KeptAnswer | Refusal:
+    outcome = await send_upstream(
+        ctx.fresh_http,
+        call.method,
+        f'http://{address}/{call.path}',
+        call.body,
+        _make_headers(call),
+    )
+    if isinstance(outcome, NotSent):
+        return Refusal(ResultCode.unreachable, retry_after_s=_COME_BACK_S)
+    unknown = Refusal(ResultCode.outcome_unknown, retry_after_s=_COME_BACK_S)
+    if not isinstance(outcome, Answered):
+        return unknown
+    response = outcome.response
+    try:
+        body = await response.aread()
+    except httpx.HTTPError:
+        return unknown
+    finally:
+        with trio.CancelScope(shield=True):
+            await response.aclose()
+    content_type = response.headers.get('Content-Type', 'text/plain')
+    return KeptAnswer(response.status_code, content_type, body)
+
+
+def _make_headers(call: ServiceCall) -> Mapping[str, str]:
+    headers = {
+        'Content-Type': call.content_type,
+        'X-Request-Id': call.caller.request_id,
+        'X-Team': call.caller.team,
+    }
+    if call.caller.idempotency_key:
+        headers['Idempotency-Key'] = call.caller.idempotency_key
+    return headers
+
+
+def _make_bill(call: ServiceCall, ring: PoolRing) -> Bill:
+    return Bill(
+        call.caller.bill_id,
+        call.caller.team,
+        call.route.name,
+        ring.pool.model_version,
+        0,
+        0,
+        ring.pool.cost_in_microcents,
+    )
+
+
+def _make_service_reply(answer: KeptAnswer, code: ResultCode) -> Reply:
+    return Reply(code, answer.status, answer.body, answer.content_type)
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/settings.py
@@ -0,0 +1,221 @@
+"""Reads and checks the settings of one node."""
+
+import pathlib
+from dataclasses import dataclass
+from typing import Any
+
+import pyjson5
+from expression import Error, Ok, Result
+from turmericcrank_core.admission import TeamLimits
+from turmericcrank_core.constraints import (
+    FieldFault,
+    Number,
+    Record,
+    Text,
+    check_fields,
+)
+from turmericcrank_core.freshness import FreshnessSettings
+
+__all__ = ('NodeSettings', 'TlsSettings', 'check_settings', 'read_settings')
+
+_MEBIBYTE = 1024 * 1024
+_HOUR_S = 3600
+
+_FIELDS = {
+    'node_id': Text(),
+    'data_centre': Text(),
+    'caller_address': Text(),
+    'peer_address': Text(),
+    'platform_url': Text(),
+    'node_secret': Text(),
+    'session_keys': Record(list),
+    'teams': Record(dict),
+    'operators': Record(dict),
+    'seed_peers': Record(list, []),
+    'tls': Record(dict, {}),
+    'statsd_address': Text(default='none'),
+    'log_path': Text(default='-'),
+    'keep_s': Number(0.1, _HOUR_S, 5),
+    'settle_s': Number(0, _HOUR_S, 3),
+    'poll_s': Number(0.05, 60, 1),
+    'freshness_bound_s': Number(0.5, 60, 4),
+    'store_timeout_s': Number(0.1, 60, 1.5),
+    'claim_limit_s': Number(0.1, 60, 3),
+    'bill_flush_s': Number(0.05, 60, 0.5),
+    'bill_takeover_s': Number(1, _HOUR_S, 10),
+    'max_body_bytes': Number(1, 64 * _MEBIBYTE, _MEBIBYTE, whole=True),
+    'body_timeout_s': Number(0.1, _HOUR_S, 10),
+    'connect_timeout_s': Number(0.05, 60, 1),
+    'read_timeout_s': Number(0.1, _HOUR_S, 30),
+    'node_capacity': Number(1, 100000, 500, whole=True),
+    'order_lease_s': Number(0.5, _HOUR_S, 6),
+    'draft_lease_s': Number(0.5, _HOUR_S, 10),
+    'max_draft_runs': Number(1, 1000, 4, whole=True),
+}
+_TEAM_FIELDS = {
+    'key_sha256': Text(64),
+    'rate_per_s': Number(0.001, 1e6, 1000),
+    'burst': Number(1, 1e6, 1000),
+    'concurrency': Number(1, 1e6, 1000, whole=True),
+}
+_OPERATOR_FIELDS = {'key_sha256': Text(64)}
+_TLS_FIELDS = {
+    'certificate_path': Text(1000),
+    'key_path': Text(1000),
+    'ca_path': Text(1000),
+}
+
+
+@dataclass(slots=True, frozen=True)
+class TlsSettings:
+    """Files of the node's certificate and of the site's authority."""
+
+    certificate_path: str
+    key_path: str
+    ca_path: str
+
+
+@dataclass(slots=True, frozen=True)
+class NodeSettings:
+    """Checked settings; ``docs/OPERATING.md`` describes each field."""
+
+    node_id: str
+    data_centre: str
+    caller_address: str
+    peer_address: str
+    platform_url: str
+    node_secret: str
+    session_keys: tuple[str, ...]
+    teams_by_key_hash: dict[str, str]
+    limits_by_team: dict[str, TeamLimits]
+    operators_by_key_hash: dict[str, str]
+    seed_peers: tuple[str, ...]
+    tls: TlsSettings | None
+    statsd_address: str
+    log_path: str
+    keep_s: float
+    settle_s: float
+    poll_s: float
+    freshness: FreshnessSettings
+    store_timeout_s: float
+    claim_limit_s: float
+    bill_flush_s: float
+    bill_takeover_s: float
+    max_body_bytes: int
+    body_timeout_s: float
+    connect_timeout_s: float
+    read_timeout_s: float
+    node_capacity: int
+    order_lease_s: float
+    draft_lease_s: float
+    max_draft_runs: int
+
+
+def read_settings(path: str) -> Result[NodeSettings, list[FieldFault]]:
+    """Read the settings file, JSON with comments.
+
+    Args:
+        path: Path of the file.
+
+    Returns:
+        The settings, or every fault with name, value and range.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except OSError as error:
+        return Error([FieldFault(path, '', '', str(error), 'a readable file')])
+    try:
+        raw = pyjson5.decode(text)
+    except pyjson5.Json5DecoderException as error:
+        allowed = 'JSON with comments'
+        return Error([FieldFault(path, '', '', str(error), allowed)])
+    return check_settings(raw)
+
+
+def check_settings(raw: Any) -> Result[NodeSettings, list[FieldFault]]:
+    """Check the decoded settings and build them."""
+    if not isinstance(raw, dict):
+        return Error([FieldFault('settings', '', '', repr(raw), 'an object')])
+    faults = list(check_fields(raw, _FIELDS, 'settings'))
+    faults.extend(_check_rows(raw, 'teams', _TEAM_FIELDS))
+    faults.extend(_check_rows(raw, 'operators', _OPERATOR_FIELDS))
+    if isinstance(raw.get('tls'), dict) and raw['tls']:
+        faults.extend(check_fields(raw['tls'], _TLS_FIELDS, 'settings', 'tls'))
+    faults.extend(_check_addresses(raw))
+    if not raw.get('session_keys', True):
+        faults.append(
+            FieldFault('settings', '', 'session_keys', '[]', 'one or more keys')
+        )
+    if faults:
+        return Error(faults)
+    return Ok(_build_settings(raw))
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:port``."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def _check_addresses(raw: dict[str, Any]) -> list[FieldFault]:
+    faults = []
+    for name in ('caller_address', 'peer_address'):
+        address = raw.get(name)
+        if isinstance(address, str):
+            _host, _, port = address.rpartition(':')
+            if not port.isdigit() or not 0 < int(port) < 65536:  # noqa: WPS432
+                allowed = 'IP:port with a port from 1 to 65535'
+                faults.append(
+                    FieldFault('settings', '', name, repr(address), allowed)
+                )
+    return faults
+
+
+def _check_rows(
+    raw: dict[str, Any], section: str, fields: dict[str, Any]
+) -> list[FieldFault]:
+    rows = raw.get(section)
+    if not isinstance(rows, dict):
+        return []
+    faults = []
+    for name, row in rows.items():
+        if isinstance(row, dict):
+            faults.extend(check_fields(row, fields, section, name))
+        else:
+            faults.append(FieldFault(section, name, '', repr(row), 'an object'))
+    return faults
+
+
+def _build_settings(raw: dict[str, Any]) -> NodeSettings:
+    plain = {
+        name: raw.get(name, constraint.default)
+        for name, constraint in _FIELDS.items()
+    }
+    teams = plain.pop('teams')
+    operators = plain.pop('operators')
+    bound_s = plain.pop('freshness_bound_s')
+    plain['session_keys'] = tuple(plain['session_keys'])
+    plain['seed_peers'] = tuple(plain['seed_peers'])
+    plain['tls'] = TlsSettings(**plain['tls']) if plain['tls'] else None
+    return NodeSettings(
+        **plain,
+        teams_by_key_hash={
+            row['key_sha256']: team for team, row in teams.items()
+        },
+        limits_by_team={
+            team: _build_limits(row) for team, row in teams.items()
+        },
+        operators_by_key_hash={
+            row['key_sha256']: operator for operator, row in operators.items()
+        },
+        freshness=FreshnessSettings(bound_s=bound_s, window_s=bound_s),
+    )
+
+
+def _build_limits(row: dict[str, Any]) -> TeamLimits:
+    limits = {
+        name: row.get(name, constraint.default)
+        for name, constraint in _TEAM_FIELDS.items()
+        if name != 'key_sha256'
+    }
+    return TeamLimits(**limits)
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/store.py
@@ -0,0 +1,220 @@
+"""Speaks to the platform: tables, objects, VM list, ratings, weights."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpx
+from expression import Error, Ok, Result
+
+__all__ = (
+    'Operation',
+    'StoreClient',
+    'StoreFault',
+    'StoredRow',
+    'WriteOutcome',
+)
+
+_NOT_FOUND = 404
+_TOO_MANY = 429
+
+ABSENT = 0
+ANY_VERSION = -1
+
+
+@dataclass(slots=True, frozen=True)
+class StoreFault:
+    """A call that failed.
+
+    Attributes:
+        detail: What was seen.
+        maybe_done: Whether a write may have taken effect all the same.
+        retry_after_s: When the platform asked to come back, if it did.
+    """
+
+    detail: str
+    maybe_done: bool
+    retry_after_s: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Operation:
+    """One conditional write.
+
+    Attributes:
+        table: Name of the table.
+        key: Key of the row.
+        expect: Version that must stand; 0 for absent, -1 for any.
+        body: New content; None deletes the row.
+    """
+
+    table: str
+    key: str
+    expect: int
+    body: Any
+
+
+@dataclass(slots=True, frozen=True)
+class StoredRow:
+    """One row as it was read; version 0 means absent."""
+
+    version: int
+    body: Any
+    key: str = ''
+
+
+@dataclass(slots=True, frozen=True)
+class WriteOutcome:
+    """Whether one operation held, and the row that stood against it."""
+
+    held: bool
+    version: int
+    body: Any
+
+
+@dataclass(slots=True)
+class StoreClient:  # noqa: WPS214 (one method for each service)
+    """Client of the platform's services.
+
+    Attributes:
+        http: Connection pool to the platform.
+        n_failed: Calls failed in a row; 0 after any that succeeded.
+    """
+
+    http: httpx.AsyncClient
+    n_failed: int = 0
+    outage_after: int = 2
+    counts_by_call: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def seems_down(self) -> bool:
+        """Tell whether the last calls all failed."""
+        return self.n_failed >= self.outage_after
+
+    async def transact(
+        self, operations: list[Operation], independent: bool = False
+    ) -> Result[list[WriteOutcome], StoreFault]:
+        """Write rows under conditions.
+
+        Args:
+            operations: Writes; all or none unless ``independent``.
+            independent: Whether each stands for itself.
+
+        Returns:
+            An outcome for each; a fault may hide a write that took effect.
+        """
+        asked = {
+            'independent': independent,
+            'operations': [
+                {
+                    'table': operation.table,
+                    'key': operation.key,
+                    'expect': operation.expect,
+                    'body': operation.body,
+                }
+                for operation in operations
+            ],
+        }
+        replied = await self._call('POST', '/tables/transact', asked)
+        return replied.map(
+            lambda reply: [
+                WriteOutcome(row['ok'], row['version'], row['body'])
+                for row in reply['outcomes']
+            ]
+        )
+
+    async def read(
+        self, keys: list[tuple[str, str]]
+    ) -> Result[list[StoredRow], StoreFault]:
+        """Read rows by table and key."""
+        replied = await self._call('POST', '/tables/read', {'keys': keys})
+        return replied.map(
+            lambda reply: [
+                StoredRow(row['version'], row['body']) for row in reply['rows']
+            ]
+        )
+
+    async def scan(
+        self, table: str, after: str = '', limit: int = 100
+    ) -> Result[list[StoredRow], StoreFault]:
+        """Read a page of rows in the order of their keys."""
+        asked = {'table': table, 'after': after, 'limit': limit}
+        replied = await self._call('POST', '/tables/scan', asked)
+        return replied.map(
+            lambda reply: [
+                StoredRow(row['version'], row['body'], row['key'])
+                for row in reply['rows']
+            ]
+        )
+
+    async def write_object(
+        self, name: str, body: bytes
+    ) -> Result[None, StoreFault]:
+        """Keep an object."""
+        sent = await self._send('PUT', f'/objects/{name}', content=body)
+        return sent.map(_drop_reply)
+
+    async def read_object(self, name: str) -> Result[bytes | None, StoreFault]:
+        """Fetch an object; None when it is absent."""
+        sent = await self._send('GET', f'/objects/{name}')
+        return sent.map(_object_body)
+
+    async def list_vms(self, since: int) -> Result[dict[str, Any], StoreFault]:
+        """Read the changes of the VM list after a sequence number."""
+        return await self._call('GET', f'/vms?since={since}', None)
+
+    async def rate(self, prompt: str, answer: str) -> Result[float, StoreFault]:
+        """Ask the rating service for a rating, 0 to 100."""
+        asked = {'prompt': prompt, 'answer': answer}
+        replied = await self._call('POST', '/ratings', asked)
+        return replied.map(lambda reply: float(reply['rating']))
+
+    async def grant_weights(self) -> Result[None, StoreFault]:
+        """Ask the weight store for one load; its rate is limited."""
+        replied = await self._call('POST', '/weights/grant', {})
+        return replied.map(_drop_reply)
+
+    async def _call(
+        self, method: str, path: str, asked: Any
+    ) -> Result[Any, StoreFault]:
+        sent = await self._send(method, path, json=asked)
+        return sent.bind(_decode)
+
+    async def _send(
+        self, method: str, path: str, **body: Any
+    ) -> Result[httpx.Response, StoreFault]:
+        self.counts_by_call[path] = self.counts_by_call.get(path, 0) + 1
+        try:
+            response = await self.http.request(method, path, **body)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            return self._fail(StoreFault(repr(error), maybe_done=False))
+        except httpx.HTTPError as error:
+            return self._fail(StoreFault(repr(error), maybe_done=True))
+        if response.status_code == _TOO_MANY:
+            wait_s = response.json().get('retry_after_s', 1)
+            return Error(StoreFault('rate limit', False, wait_s))
+        if response.is_error and response.status_code != _NOT_FOUND:
+            detail = f'status {response.status_code}'
+            return self._fail(StoreFault(detail, maybe_done=False))
+        self.n_failed = 0
+        return Ok(response)
+
+    def _fail(self, fault: StoreFault) -> Result[Any, StoreFault]:
+        self.n_failed += 1
+        return Error(fault)
+
+
+def _decode(response: httpx.Response) -> Result[Any, StoreFault]:
+    try:
+        return Ok(response.json())
+    except ValueError as error:
+        return Error(StoreFault(repr(error), maybe_done=True))
+
+
+def _drop_reply(_reply: Any) -> None:
+    """Give nothing for a reply without content."""
+
+
+def _object_body(response: httpx.Response) -> bytes | None:
+    if response.status_code == _NOT_FOUND:
+        return None
+    return response.content
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/suspects_desk.py
@@ -0,0 +1,54 @@
+"""Shares which requests were at an upstream when it crashed."""
+
+import time
+from collections.abc import Iterable
+
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.suspects import (
+    CrashRecord,
+    add_crash,
+    clear_suspect,
+    is_suspect,
+)
+
+from turmericcrank_node import peer_messages as messages
+from turmericcrank_node.context import NodeContext
+from turmericcrank_node.sampling import spread
+
+__all__ = ('note_answered', 'note_crash', 'report_crash')
+
+
+def note_crash(
+    ctx: NodeContext, record: CrashRecord, cleared: Iterable[str]
+) -> None:
+    """Take a crash, or cleared requests, from this node or a peer."""
+    add_crash(ctx.suspects, record)
+    for fingerprint in cleared:
+        clear_suspect(ctx.suspects, fingerprint, record.at_s)
+
+
+async def report_crash(
+    ctx: NodeContext, upstream_id: str, fingerprints: Iterable[str]
+) -> None:
+    """Note a crash and tell all peers, before any request is sent again."""
+    record = CrashRecord(upstream_id, time.time(), frozenset(fingerprints))
+    note_crash(ctx, record, ())
+    ctx.log.write(
+        EventCode.upstream_failed,
+        upstream=upstream_id,
+        in_progress=len(record.fingerprints),
+    )
+    seen = messages.CrashSeen(
+        upstream_id, record.at_s, sorted(record.fingerprints), []
+    )
+    await spread(ctx, seen)
+
+
+def note_answered(ctx: NodeContext, fingerprint: str) -> None:
+    """Clear a suspect that was answered whole, here and at all peers."""
+    if not is_suspect(ctx.suspects, fingerprint):
+        return
+    now_s = time.time()
+    clear_suspect(ctx.suspects, fingerprint, now_s)
+    seen = messages.CrashSeen('', now_s, [], [fingerprint])
+    ctx.start_soon(spread, seen)
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/tables_desk.py
@@ -0,0 +1,259 @@
+"""Adopts, keeps and accepts revisions of the tables."""
+
+import json
+import time
+from typing import Any
+
+from expression import Error, Ok, Result
+from turmericcrank_core.codes import ResultCode
+from turmericcrank_core.errors import Refusal
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.freshness import has_majority
+from turmericcrank_core.revisions import (
+    Patch,
+    Snapshot,
+    adopt_patch,
+    adopt_snapshot,
+    hear_revision,
+    is_own_patch,
+)
+from turmericcrank_core.selection import build_ring
+from turmericcrank_core.tables import plan_patch
+
+from turmericcrank_node.context import NodeContext
+from turmericcrank_node.store import Operation, StoreFault
+
+__all__ = (
+    'accept_edit',
+    'adopt_patches',
+    'adopt_whole',
+    'check_patch',
+    'fetch_patches',
+    'read_history',
+    'write_patch',
+)
+
+_TABLE = 'tables'
+_HEAD = 'head'
+_SNAPSHOT_OBJECT = 'tables/snapshot'
+_SNAPSHOT_EVERY = 16
+_KEPT_PATCHES = 256
+_MAX_PATCHES_READ = 64
+_ACCEPT_TRIES = 3
+
+
+def adopt_patches(ctx: NodeContext, patches: list[Patch], source: str) -> bool:
+    """Adopt the patches that come next; True when any did."""
+    adopted = False
+    for patch in patches:
+        if adopt_patch(ctx.revision, patch):
+            adopted = True
+            ctx.patches_by_revision[patch.revision] = patch
+            ctx.patches_by_revision.pop(patch.revision - _KEPT_PATCHES, None)
+            ctx.log.write(
+                EventCode.revision_adopted,
+                revision=patch.revision,
+                source=source,
+            )
+    if adopted:
+        _build_rings(ctx)
+    return adopted
+
+
+def adopt_whole(ctx: NodeContext, snapshot: Snapshot, source: str) -> bool:
+    """Adopt whole tables when they are newer."""
+    if not adopt_snapshot(ctx.revision, snapshot):
+        return False
+    ctx.log.write(
+        EventCode.revision_adopted, revision=snapshot.revision, source=source
+    )
+    _build_rings(ctx)
+    return True
+
+
+async def fetch_patches(ctx: NodeContext) -> None:
+    """Fetch from the store the patches up to the newest heard revision."""
+    if ctx.revision.revision == 0:
+        await _fetch_snapshot(ctx)
+    first = ctx.revision.revision + 1
+    last = min(ctx.revision.heard_revision, first + _MAX_PATCHES_READ)
+    keys = [(_TABLE, _patch_key(number)) for number in range(first, last + 1)]
+    if not keys:
+        return
+    found = await ctx.store.read(keys)
+    if found.is_ok():
+        patches = [check_patch(row.body) for row in found.ok if row.body]
+        adopt_patches(ctx, patches, 'store')
+
+
+async def accept_edit(
+    ctx: NodeContext,
+    seen_revision: int,
+    raw: dict[str, Any],
+    token: str,
+    operator: str,
+) -> Result[Patch, Refusal]:
+    """Accept an edit if nobody else's came first.
+
+    Args:
+        ctx: The node.
+        seen_revision: Revision on which the operator based the edit.
+        raw: Whole tables after the edit, already checked.
+        token: Unique text of the operator's attempt.
+        operator: Who makes the edit.
+
+    Returns:
+        The accepted patch; a refusal with code conflict, no majority or
+        acceptance unknown otherwise. Sending the same token again is safe.
+    """
+    if not has_majority(ctx.window, time.monotonic(), ctx.settings.freshness):
+        return Error(Refusal(ResultCode.no_majority, retry_after_s=2))
+    if ctx.revision.revision < seen_revision:
+        return Error(Refusal(ResultCode.no_tables, retry_after_s=1))
+    base = await read_raw_at(ctx, seen_revision)
+    if base is None:
+        return Error(Refusal(ResultCode.store_down, retry_after_s=2))
+    patch = Patch(
+        seen_revision + 1, token, operator, time.time(), plan_patch(base, raw)
+    )
+    for _attempt in range(_ACCEPT_TRIES):
+        outcome = await _write_acceptance(ctx, patch)
+        if outcome.is_ok():
+            return await _finish_acceptance(ctx, patch, outcome.ok)
+    return Error(Refusal(ResultCode.acceptance_unknown, retry_after_s=2))
+
+
+async def read_history(
+    ctx: NodeContext, before: int, limit: int
+) -> Result[list[Patch], StoreFault]:
+    """Read accepted patches, newest first.
+
+    Args:
+        ctx: The node.
+        before: Read patches under this revision.
+        limit: Most patches to read.
+    """
+    first = max(1, before - limit)
+    keys = [(_TABLE, _patch_key(number)) for number in range(first, before)]
+    if not keys:
+        return Ok([])
+    found = await ctx.store.read(keys)
+    return found.map(
+        lambda rows: [
+            check_patch(row.body) for row in reversed(rows) if row.body
+        ]
+    )
+
+
+async def read_raw_at(ctx: NodeContext, revision: int) -> dict[str, Any] | None:
+    """Rebuild the raw tables of an earlier revision; None when it fails."""
+    if revision == ctx.revision.revision:
+        return ctx.revision.raw
+    state = type(ctx.revision)()
+    for first in range(1, revision + 1, _MAX_PATCHES_READ):
+        last = min(revision, first + _MAX_PATCHES_READ - 1)
+        keys = [
+            (_TABLE, _patch_key(number)) for number in range(first, last + 1)
+        ]
+        found = await ctx.store.read(keys)
+        if found.is_error():
+            return None
+        for row in found.ok:
+            adopt_patch(state, check_patch(row.body))
+    return state.raw
+
+
+def check_patch(raw: dict[str, Any]) -> Patch:
+    """Build a patch from its stored form."""
+    return Patch(
+        raw['revision'],
+        raw['token'],
+        raw['operator'],
+        raw['accepted_s'],
+        raw['changes'],
+    )
+
+
+def write_patch(patch: Patch) -> dict[str, Any]:
+    """Give the stored form of a patch."""
+    return {
+        'revision': patch.revision,
+        'token': patch.token,
+        'operator': patch.operator,
+        'accepted_s': patch.accepted_s,
+        'changes': patch.changes,
+    }
+
+
+def _build_rings(ctx: NodeContext) -> None:
+    pools = ctx.revision.tables.pools_by_name
+    ctx.rings_by_pool = {
+        name: _reuse_ring(ctx, pool) for name, pool in pools.items()
+    }
+
+
+def _reuse_ring(ctx: NodeContext, pool: Any) -> Any:
+    known = ctx.rings_by_pool.get(pool.name)
+    if known is not None and known.pool == pool:
+        return known
+    return build_ring(pool)
+
+
+async def _fetch_snapshot(ctx: NodeContext) -> None:
+    found = await ctx.store.read_object(_SNAPSHOT_OBJECT)
+    if found.is_ok() and found.ok:
+        raw = json.loads(found.ok)
+        adopt_whole(ctx, Snapshot(raw['revision'], raw['raw']), 'snapshot')
+
+
+async def _write_acceptance(
+    ctx: NodeContext, patch: Patch
+) -> Result[bool, StoreFault]:
+    """Write head and patch in one transaction; False when it did not hold."""
+    outcome = await ctx.store.transact(
+        [
+            Operation(
+                _TABLE, _HEAD, patch.revision - 1, {'revision': patch.revision}
+            ),
+            Operation(
+                _TABLE, _patch_key(patch.revision), 0, write_patch(patch)
+            ),
+        ]
+    )
+    return outcome.map(lambda rows: all(row.held for row in rows))
+
+
+async def _finish_acceptance(
+    ctx: NodeContext, patch: Patch, held: bool
+) -> Result[Patch, Refusal]:
+    if not held:
+        found = await ctx.store.read([(_TABLE, _patch_key(patch.revision))])
+        if found.is_error():
+            return Error(Refusal(ResultCode.acceptance_unknown, '', 2))
+        body = found.ok[0].body
+        stored = check_patch(body) if body else None
+        if not is_own_patch(stored, patch.token):
+            ctx.log.write(EventCode.revision_conflict, revision=patch.revision)
+            return Error(Refusal(ResultCode.conflict))
+        patch = stored
+    ctx.log.write(
+        EventCode.revision_accepted,
+        revision=patch.revision,
+        operator=patch.operator,
+    )
+    hear_revision(ctx.revision, patch.revision, time.monotonic())
+    adopt_patches(ctx, [patch], 'operator')
+    if patch.revision % _SNAPSHOT_EVERY == 0:
+        await _keep_snapshot(ctx)
+    return Ok(patch)
+
+
+async def _keep_snapshot(ctx: NodeContext) -> None:
+    snapshot = {'revision': ctx.revision.revision, 'raw': ctx.revision.raw}
+    await ctx.store.write_object(
+        _SNAPSHOT_OBJECT, json.dumps(snapshot).encode()
+    )
+
+
+def _patch_key(revision: int) -> str:
+    return f'patch/{revision:012d}'
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/upstream_calls.py
@@ -0,0 +1,56 @@
+"""Sends one request to one upstream and tells what is known of it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import httpx
+
+__all__ = ('Answered', 'Broken', 'NotSent', 'send_upstream')
+
+
+@dataclass(slots=True, frozen=True)
+class NotSent:
+    """The request was proven not to have reached the upstream."""
+
+    detail: str
+
+
+@dataclass(slots=True, frozen=True)
+class Broken:
+    """The connection broke after the request may have been sent."""
+
+    detail: str
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """The upstream answered; the body is still to be read."""
+
+    response: httpx.Response
+
+
+async def send_upstream(
+    http: httpx.AsyncClient,
+    method: str,
+    url: str,
+    body: bytes,
+    headers: Mapping[str, str],
+) -> Answered | Broken | NotSent:
+    """Send a request and wait for the head of the answer.
+
+    Only a connection that could not be made proves that nothing was sent.
+
+    Args:
+        http: Connection pool.
+        method: HTTP method.
+        url: Where it goes.
+        body: Whole body.
+        headers: Headers of the request.
+    """
+    request = http.build_request(method, url, content=body, headers=headers)
+    try:
+        return Answered(await http.send(request, stream=True))
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as err:
+        return NotSent(repr(err))
+    except httpx.HTTPError as error:
+        return Broken(repr(error))
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/vm_list.py
@@ -0,0 +1,61 @@
+"""Keeps what the VM list says of nodes and upstreams."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from turmericcrank_core.event_codes import EventCode
+
+from turmericcrank_node.context import NodeContext, VmRow
+
+__all__ = ('dump_vms', 'list_peers', 'note_vms')
+
+
+def note_vms(
+    ctx: NodeContext, sequence: int, rows: Iterable[dict[str, Any]]
+) -> None:
+    """Take changed rows of the VM list, from the platform or a peer."""
+    if sequence < ctx.vm_sequence:
+        return
+    ctx.vm_sequence = sequence
+    for raw in rows:
+        row = VmRow(
+            raw['id'],
+            raw['role'],
+            raw['data_centre'],
+            raw['state'],
+            raw.get('caller_address', ''),
+            raw.get('peer_address', ''),
+        )
+        if row.state == 'gone':
+            ctx.vms_by_id.pop(row.vm_id, None)
+        else:
+            ctx.vms_by_id[row.vm_id] = row
+        if row.role == 'upstream' and row.state != 'live':
+            ctx.log.write(EventCode.upstream_leaving, upstream=row.vm_id)
+    ctx.window.listed = frozenset(row.vm_id for row in list_peers(ctx))
+
+
+def list_peers(ctx: NodeContext) -> list[VmRow]:
+    """List the other entry nodes that are live."""
+    return [
+        row
+        for row in ctx.vms_by_id.values()
+        if row.role == 'entry'
+        and row.state == 'live'
+        and row.vm_id != ctx.settings.node_id
+    ]
+
+
+def dump_vms(ctx: NodeContext) -> list[dict[str, Any]]:
+    """Give the known rows of the VM list, for a peer."""
+    return [
+        {
+            'id': row.vm_id,
+            'role': row.role,
+            'data_centre': row.data_centre,
+            'state': row.state,
+            'caller_address': row.caller_address,
+            'peer_address': row.peer_address,
+        }
+        for row in ctx.vms_by_id.values()
+    ]
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/watcher.py
@@ -0,0 +1,74 @@
+"""Watches the platform: head of the tables, VM list, roll-outs."""
+
+import time
+from collections.abc import Iterator
+
+import trio
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.revisions import hear_revision
+from turmericcrank_core.rollouts import check_progress, make_rollout_key
+
+from turmericcrank_node.context import NodeContext
+from turmericcrank_node.evidence_desk import note_stop
+from turmericcrank_node.tables_desk import fetch_patches
+from turmericcrank_node.vm_list import note_vms
+
+__all__ = ('serve_vm_watch', 'serve_watch')
+
+_ROLLOUTS = 'rollouts'
+_STOPS = 'stops'
+
+
+async def serve_watch(ctx: NodeContext) -> None:
+    """Read the head of the tables for ever and adopt what is new."""
+    while True:
+        await _watch_once(ctx)
+        await trio.sleep(ctx.settings.poll_s)
+
+
+async def serve_vm_watch(ctx: NodeContext) -> None:
+    """Read the changes of the VM list for ever."""
+    while True:
+        listed = await ctx.store.list_vms(ctx.vm_sequence)
+        if listed.is_ok():
+            note_vms(ctx, listed.ok['sequence'], listed.ok['vms'])
+        await trio.sleep(ctx.settings.poll_s)
+
+
+async def _watch_once(ctx: NodeContext) -> None:
+    asked_s = time.monotonic()
+    was_down = ctx.store.seems_down
+    watched = list(_iter_watched_keys(ctx))
+    found = await ctx.store.read([('tables', 'head'), *watched])
+    if found.is_error():
+        if ctx.store.seems_down and not was_down:
+            ctx.log.write(EventCode.store_lost, detail=found.error.detail)
+        return
+    if was_down:
+        ctx.log.write(EventCode.store_found)
+    head, *watched_rows = found.ok
+    if head.body is not None:
+        await _follow_head(ctx, head.body['revision'])
+    for (table, key), row in zip(watched, watched_rows, strict=True):
+        if row.body is not None and table == _ROLLOUTS:
+            ctx.progress_by_key[key] = check_progress(row.body)
+        elif row.body is not None:
+            note_stop(ctx, key, row.body['reason'])
+    if ctx.revision.revision >= ctx.revision.heard_revision:
+        ctx.store_seen_s = asked_s
+
+
+async def _follow_head(ctx: NodeContext, revision: int) -> None:
+    hear_revision(ctx.revision, revision, time.monotonic())
+    if revision > ctx.revision.revision:
+        await fetch_patches(ctx)
+
+
+def _iter_watched_keys(ctx: NodeContext) -> Iterator[tuple[str, str]]:
+    """Yield the rows of roll-outs and stops that matter to these tables."""
+    for route in ctx.revision.tables.routes_by_name.values():
+        if route.rollout is not None:
+            yield _ROLLOUTS, make_rollout_key(route.name, route.rollout)
+    for pool in ctx.revision.tables.pools_by_name.values():
+        if pool.stop_key not in ctx.reasons_by_stop:
+            yield _STOPS, pool.stop_key
