Prove the promises under kills, freezes, cuts and outages

Change: hypothesis properties over the core (revisions, freshness, claims, bills, suspects, leases, sessions), the claim and bill desks on small fakes, and real processes that are killed, frozen and cut. Conclusion: evidence on speed must be relative to what else serves the route.

--- a/packages/core/src/turmericcrank_core/exposure.py
+++ b/packages/core/src/turmericcrank_core/exposure.py
@@ -10,18 +10,24 @@
 """
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 __all__ = (
     'EvidencePool',
     'ExposureSettings',
+    'SpeedBook',
     'UpstreamCounts',
     'VersionEvidence',
     'absorb_counts',
     'find_fault',
+    'judge_speed',
     'mean_rating',
 )
 
+_SLOW_FACTOR = 3
+_SPEED_GAIN = 0.02
+
 
 @dataclass(slots=True, frozen=True)
 class ExposureSettings:
@@ -113,6 +119,42 @@
     )
 
 
+@dataclass(slots=True)
+class SpeedBook:
+    """Usual times to the first token, by stop key, in seconds."""
+
+    mean_s_by_version: dict[str, float] = field(default_factory=dict)
+
+
+def judge_speed(
+    book: SpeedBook,
+    version: str,
+    others: Iterable[str],
+    first_token_s: float,
+    limit_s: float,
+) -> bool:
+    """Tell whether a first token came slowly for its version's sake.
+
+    A time over the limit counts only when it is also far above what the
+    other versions of the route need now, or, without others, above what
+    this version needed before. So a queue before all versions stops none.
+
+    Args:
+        book: Usual times; this one is added.
+        version: Stop key of the pool that answered.
+        others: Stop keys of the other pools of the route.
+        first_token_s: Time to the first token, in seconds.
+        limit_s: Time that is fast enough in any case, in seconds.
+    """
+    means = book.mean_s_by_version
+    own_mean_s = means.get(version, first_token_s)
+    known = [means[other] for other in others if other in means]
+    usual_s = min(known, default=own_mean_s)
+    slow = first_token_s > max(limit_s, _SLOW_FACTOR * usual_s)
+    means[version] = own_mean_s + _SPEED_GAIN * (first_token_s - own_mean_s)
+    return slow
+
+
 def absorb_counts(
     pool: EvidencePool,
     version: str,
--- a/packages/dev/src/turmericcrank_dev/caller.py
+++ b/packages/dev/src/turmericcrank_dev/caller.py
@@ -81,6 +81,10 @@
         path = f'/services/{route}/bookings'
         return self._insist(path, body, headers, tries or _MAX_TRIES)
 
+    def forget_addresses(self) -> None:
+        """Ask for addresses anew before the next request."""
+        self._kept_until_s = 0
+
     def find_addresses(self) -> list[str]:
         """Give the addresses to use, asked anew when no longer kept."""
         if time.monotonic() < self._kept_until_s:
--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/cut_relay.py
@@ -0,0 +1,94 @@
+"""A relay that can be cut: ``python -m turmericcrank_dev.cut_relay``.
+
+SIGUSR1 cuts it: connections end and new ones are refused by silence.
+SIGUSR2 heals it.
+"""
+
+import signal
+from typing import Any
+
+import fire
+import trio
+
+__all__ = ('main',)
+
+_READ_BYTES = 65536
+_HANG_S = 3600
+
+
+class _Relay:
+    """State of one relay."""
+
+    __slots__ = ('is_cut', 'scopes', 'target_port')
+
+    def __init__(self, target_port: int) -> None:
+        self.target_port = target_port
+        self.is_cut = False
+        self.scopes: set[trio.CancelScope] = set()
+
+    async def serve(self, inner: Any) -> None:
+        """Relay one connection until it ends or is cut."""
+        if self.is_cut:
+            await trio.sleep(_HANG_S)
+        with trio.CancelScope() as scope:
+            self.scopes.add(scope)
+            try:
+                await self._join(inner)
+            finally:
+                self.scopes.discard(scope)
+
+    async def watch_signals(self) -> None:
+        """Cut and heal as the signals say."""
+        with trio.open_signal_receiver(
+            signal.SIGUSR1, signal.SIGUSR2
+        ) as signals:
+            async for number in signals:
+                self.is_cut = number == signal.SIGUSR1
+                if self.is_cut:
+                    self._end_connections()
+
+    def _end_connections(self) -> None:
+        for scope in tuple(self.scopes):
+            scope.cancel()
+
+    async def _join(self, inner: Any) -> None:
+        try:
+            outer = await trio.open_tcp_stream('127.0.0.1', self.target_port)
+        except OSError:
+            return
+        async with outer, trio.open_nursery() as nursery:
+            nursery.start_soon(_copy, inner, outer, nursery.cancel_scope)
+            nursery.start_soon(_copy, outer, inner, nursery.cancel_scope)
+
+
+def main(port: int, target_port: int) -> None:
+    """Relay a port of 127.0.0.1 to another.
+
+    Args:
+        port: Port to listen on.
+        target_port: Port to connect to.
+    """
+    trio.run(_run, port, target_port)
+
+
+async def _run(port: int, target_port: int) -> None:
+    relay = _Relay(target_port)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(relay.watch_signals)
+        await trio.serve_tcp(relay.serve, port, host='127.0.0.1')
+
+
+async def _copy(source: Any, sink: Any, scope: trio.CancelScope) -> None:
+    try:
+        while True:
+            received = await source.receive_some(_READ_BYTES)
+            if not received:
+                break
+            await sink.send_all(received)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        received = b''
+    scope.cancel()
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/packages/dev/src/turmericcrank_dev/site.py
+++ b/packages/dev/src/turmericcrank_dev/site.py
@@ -57,6 +57,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='turmericcrank-'))
         self.platform_port = find_port()
         self.nodes_by_name: dict[str, NodePorts] = {}
+        self.platform_relays_by_node: dict[str, int] = {}
+        self.peer_relays_by_node: dict[str, int] = {}
         self._processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self._http = httpx.Client(timeout=_CALL_S, trust_env=False)
 
@@ -93,11 +95,35 @@
         self.list_node(name, 'live')
         return ports
 
+    def add_cuttable_node(self, name: str, data_centre: str) -> None:
+        """Add a node whose ways to the platform and from peers can be cut."""
+        ports = self.add_node(name, data_centre)
+        self.platform_relays_by_node[name] = self._start_relay(
+            f'{name}-platform', self.platform_port
+        )
+        self.peer_relays_by_node[name] = self._start_relay(
+            f'{name}-peer', ports.peer_port
+        )
+        self.list_node(name, 'live')
+
+    def cut_node(self, name: str) -> None:
+        """Cut a node off from the platform; peers can't reach it either."""
+        self.signal(f'{name}-platform', signal.SIGUSR1)
+        self.signal(f'{name}-peer', signal.SIGUSR1)
+
+    def heal_node(self, name: str) -> None:
+        """Heal the cuts of a node."""
+        self.signal(f'{name}-platform', signal.SIGUSR2)
+        self.signal(f'{name}-peer', signal.SIGUSR2)
+
     def start_node(self, name: str, **changed: Any) -> None:
         """Start a node that was added."""
         ports = self.nodes_by_name[name]
         settings = build_node_settings(
-            ports, self.platform_port, str(self.log_path(name)), **changed
+            ports,
+            self.platform_relays_by_node.get(name, self.platform_port),
+            str(self.log_path(name)),
+            **changed,
         )
         path = self.write_json(f'{name}.json', settings)
         command = pathlib.Path(sys.executable).with_name('turmericcrankd')
@@ -166,13 +192,14 @@
     def list_node(self, name: str, state: str) -> None:
         """Put the row of a node on the VM list."""
         ports = self.nodes_by_name[name]
+        peer_port = self.peer_relays_by_node.get(name, ports.peer_port)
         self.list_vm(
             name,
             'entry',
             state,
             data_centre=ports.data_centre,
             caller_address=ports.caller_address,
-            peer_address=ports.peer_address,
+            peer_address=f'127.0.0.1:{peer_port}',
         )
 
     def set_faults(self, port: int | None = None, **faults: Any) -> None:
@@ -230,6 +257,15 @@
         path.write_text(json.dumps(body), encoding='utf-8')
         return path
 
+    def _start_relay(self, name: str, target_port: int) -> int:
+        port = find_port()
+        self._start_module(
+            name,
+            'cut_relay',
+            ['--port', str(port), '--target_port', str(target_port)],
+        )
+        return port
+
     def _start_module(
         self, name: str, module: str, arguments: list[str]
     ) -> None:
--- a/packages/node/src/turmericcrank_node/bill_desk.py
+++ b/packages/node/src/turmericcrank_node/bill_desk.py
@@ -4,7 +4,6 @@
 bill before its answer ends, so the loss of one node loses no bill.
 """
 
-import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -245,7 +244,7 @@
 
 
 async def _take_over(ctx: NodeContext, shelf: CopyShelf) -> None:
-    oldest_s = time.monotonic() - ctx.settings.bill_takeover_s
+    oldest_s = trio.current_time() - ctx.settings.bill_takeover_s
     for name, entry in list(shelf.entries_by_batch.items()):
         if entry.kept_s > oldest_s or ctx.store.seems_down:
             continue
--- a/packages/node/src/turmericcrank_node/claim_desk.py
+++ b/packages/node/src/turmericcrank_node/claim_desk.py
@@ -71,9 +71,9 @@
         ClaimState.claimed,
         time.time() + deadline_s,
     )
-    attempt = ClaimAttempt(ctx, key, row, time.monotonic())
+    attempt = ClaimAttempt(ctx, key, row, trio.current_time())
     limit_s = attempt.started_s + ctx.settings.claim_limit_s
-    while time.monotonic() < limit_s:
+    while trio.current_time() < limit_s:
         decided = await attempt.write_once()
         if decided is not None:
             return decided
@@ -109,7 +109,7 @@
         self,
     ) -> Result[WonClaim | KeptAnswer, Refusal] | None:
         """Write the row once; None when nothing is decided yet."""
-        claimed_s = time.monotonic()
+        claimed_s = trio.current_time()
         outcome = await self.ctx.store.transact(
             [
                 Operation(
--- a/packages/node/src/turmericcrank_node/conductor.py
+++ b/packages/node/src/turmericcrank_node/conductor.py
@@ -84,7 +84,7 @@
     if found.is_error():
         return
     stored = found.ok[0]
-    now_s = time.monotonic()
+    now_s = trio.current_time()
     note_lease(state.watch, check_lease(stored.body), now_s)
     length_s = ctx.settings.order_lease_s
     row = plan_lease(state.watch, ctx.incarnation, length_s, now_s)
@@ -103,7 +103,7 @@
     length_s = ctx.settings.order_lease_s
     return state.row is not None and is_held(
         state.written_s,
-        time.monotonic(),
+        trio.current_time(),
         length_s,
         _ORDER_TIMEOUT_S + length_s / _TICKS_PER_LEASE,
     )
--- a/packages/node/src/turmericcrank_node/context.py
+++ b/packages/node/src/turmericcrank_node/context.py
@@ -5,7 +5,6 @@
 """
 
 import random
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -15,7 +14,7 @@
 from turmericcrank_core.admission import AdmissionBook
 from turmericcrank_core.billing import Bill
 from turmericcrank_core.cascade import CascadePolicy
-from turmericcrank_core.exposure import EvidencePool, UpstreamCounts
+from turmericcrank_core.exposure import EvidencePool, SpeedBook, UpstreamCounts
 from turmericcrank_core.freshness import (
     Freshness,
     SampleWindow,
@@ -90,6 +89,7 @@
     Attributes:
         own_by_key: Own counts by stop key and upstream.
         told_by_node: Newest counts that each node told, by the same keys.
+        speed: Usual times to the first token.
     """
 
     own_by_key: dict[tuple[str, str], UpstreamCounts] = field(
@@ -98,6 +98,7 @@
     told_by_node: dict[str, dict[tuple[str, str], UpstreamCounts]] = field(
         default_factory=dict
     )
+    speed: SpeedBook = field(default_factory=SpeedBook)
 
 
 @dataclass(slots=True)
@@ -119,6 +120,7 @@
     patches_by_revision: dict[int, Patch] = field(default_factory=dict)
     # Changed by watcher.
     store_seen_s: float | None = None
+    is_store_lost: bool = False
     vms_by_id: dict[str, VmRow] = field(default_factory=dict)
     vm_sequence: int = 0
     progress_by_key: dict[str, RolloutProgress] = field(default_factory=dict)
@@ -155,7 +157,7 @@
             self.window,
             self.store_seen_s,
             self.revision.behind_since_s,
-            time.monotonic(),
+            trio.current_time(),
             self.settings.freshness,
         )
 
--- a/packages/node/src/turmericcrank_node/dispatch.py
+++ b/packages/node/src/turmericcrank_node/dispatch.py
@@ -1,6 +1,5 @@
 """Gives a request an upstream, and keeps what is in progress where."""
 
-import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -87,7 +86,7 @@
             wanted.prefix_key,
             avoided,
             wanted.room_share,
-            time.monotonic(),
+            trio.current_time(),
         )
         if upstream_id is not None:
             break
@@ -119,7 +118,7 @@
 def eject_upstream(ctx: NodeContext, upstream_id: str) -> None:
     """Give an upstream no new work for a short time."""
     load = ctx.loads.loads_by_id.setdefault(upstream_id, UpstreamLoad())
-    load.ejected_until_s = time.monotonic() + _EJECT_S
+    load.ejected_until_s = trio.current_time() + _EJECT_S
 
 
 def find_budget(ctx: NodeContext, pool_name: str) -> RetryBudget:
--- a/packages/node/src/turmericcrank_node/draft_desk.py
+++ b/packages/node/src/turmericcrank_node/draft_desk.py
@@ -8,7 +8,6 @@
 """
 
 import json
-import time
 import uuid
 from dataclasses import dataclass, field
 from typing import Any
@@ -165,7 +164,7 @@
     nursery: trio.Nursery,
 ) -> None:
     watch = runner.watches_by_id.setdefault(row.key, LeaseWatch())
-    now_s = time.monotonic()
+    now_s = trio.current_time()
     note_lease(watch, check_lease(row.body['lease']), now_s)
     lease = plan_lease(
         watch, ctx.incarnation, ctx.settings.draft_lease_s, now_s
--- a/packages/node/src/turmericcrank_node/gate.py
+++ b/packages/node/src/turmericcrank_node/gate.py
@@ -1,7 +1,6 @@
 """Decides at the door whether a request is looked at any further."""
 
 import hashlib
-import time
 import uuid
 from dataclasses import dataclass
 
@@ -124,7 +123,7 @@
         ctx.admission,
         team,
         ctx.settings.limits_by_team[team],
-        time.monotonic(),
+        trio.current_time(),
     )
     return admitted.map(lambda _nothing: Place(ctx, team))
 
--- a/packages/node/src/turmericcrank_node/model_plan.py
+++ b/packages/node/src/turmericcrank_node/model_plan.py
@@ -4,6 +4,7 @@
 import time
 from dataclasses import dataclass
 
+import trio
 from expression import Error, Ok, Result
 from turmericcrank_core.codes import ResultCode
 from turmericcrank_core.errors import Refusal
@@ -137,5 +138,5 @@
         request,
         fingerprint,
         wanted,
-        time.monotonic() + route.deadline_s,
+        trio.current_time() + route.deadline_s,
     )
--- a/packages/node/src/turmericcrank_node/node.py
+++ b/packages/node/src/turmericcrank_node/node.py
@@ -4,7 +4,6 @@
 import random
 import signal
 import ssl
-import time
 import uuid
 
 import httpx
@@ -46,7 +45,7 @@
 __all__ = ('run_node',)
 
 _MAX_CONNECTIONS = 4096
-_GRACE_S = 3600
+_GRACE_S = 2
 _LAST_FLUSHES = 10
 _FLUSH_PAUSE_S = 0.2
 _DRAIN_PAUSE_S = 0.05
@@ -166,12 +165,12 @@
     ctx.log.write(EventCode.drain_started, hurried=False)
     ctx.leaving = True
     times = plan_stop_times(
-        time.monotonic(),
+        trio.current_time(),
         ctx.settings.keep_s,
         ctx.settings.settle_s,
         hurried=False,
     )
-    while time.monotonic() < times.refuse_s and not ctx.refusing:
+    while trio.current_time() < times.refuse_s and not ctx.refusing:
         await trio.sleep(_DRAIN_PAUSE_S)
     ctx.log.write(EventCode.drain_left_addresses)
     ctx.refusing = True
--- a/packages/node/src/turmericcrank_node/peer_server.py
+++ b/packages/node/src/turmericcrank_node/peer_server.py
@@ -1,7 +1,6 @@
 """Answers the other nodes."""
 
 import ssl
-import time
 from typing import Any
 
 import trio
@@ -25,7 +24,7 @@
 from turmericcrank_node.tables_desk import write_patch
 from turmericcrank_node.vm_list import dump_vms
 
-__all__ = ('serve_peers',)
+__all__ = ('answer_message', 'serve_peers')
 
 _MAX_PATCHES_SENT = 64
 _PROOF_S = 2
@@ -68,16 +67,17 @@
         message = await peer.receive()
         if message is None:
             return
-        await peer.send(_answer(ctx, shelf, message))
+        await peer.send(answer_message(ctx, shelf, message))
 
 
-def _answer(ctx: NodeContext, shelf: CopyShelf, message: Any) -> Any:
+def answer_message(ctx: NodeContext, shelf: CopyShelf, message: Any) -> Any:
+    """Answer one message of a peer."""
     answer_one = _ANSWERS_BY_TYPE.get(type(message))
     if answer_one is not None:
         return answer_one(ctx, message)
     if isinstance(message, messages.BillCopies):
         bills = [check_bill(raw) for raw in message.bills]
-        shelf.keep(message.origin, message.batch, bills, time.monotonic())
+        shelf.keep(message.origin, message.batch, bills, trio.current_time())
     elif isinstance(message, messages.BillsWritten):
         shelf.drop(message.batches)
     return messages.Ack(ctx.settings.node_id)
@@ -96,7 +96,7 @@
 
 def _hear(ctx: NodeContext, node_id: str, revision: int) -> None:
     if revision > ctx.revision.revision:
-        hear_revision(ctx.revision, revision, time.monotonic())
+        hear_revision(ctx.revision, revision, trio.current_time())
         ctx.start_soon(pull_patches, node_id)
     elif revision < ctx.revision.revision:
         ctx.metrics.count('older_revision_heard')
--- a/packages/node/src/turmericcrank_node/peers.py
+++ b/packages/node/src/turmericcrank_node/peers.py
@@ -6,7 +6,6 @@
 
 import math
 import ssl
-import time
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -68,7 +67,7 @@
         address = _find_address(ctx.vms_by_id, peer)
         if not address:
             return Error('the peer is not on the VM list')
-        if links.resting_until_by_address.get(address, 0) > time.monotonic():
+        if links.resting_until_by_address.get(address, 0) > trio.current_time():
             return Error('the peer did not answer just now')
         if address not in links.questions_by_address:
             sender, receiver = trio.open_memory_channel(math.inf)
@@ -105,7 +104,9 @@
             break
         peer, outcome = await _ask_once(ctx, links, address, peer, question)
         if outcome.is_error():
-            links.resting_until_by_address[address] = time.monotonic() + _REST_S
+            links.resting_until_by_address[address] = (
+                trio.current_time() + _REST_S
+            )
         question.replies.send_nowait(outcome)
     if peer is not None:
         await peer.close()
--- a/packages/node/src/turmericcrank_node/sampling.py
+++ b/packages/node/src/turmericcrank_node/sampling.py
@@ -1,6 +1,5 @@
 """Samples random peers: who lives, who saw the store, who has which tables."""
 
-import time
 from typing import Any
 
 import trio
@@ -49,12 +48,12 @@
 
 async def sample_peer(ctx: NodeContext, peer_id: str) -> None:
     """Ask one peer and keep what it says."""
-    asked_s = time.monotonic()
+    asked_s = trio.current_time()
     ping = messages.Ping(
         ctx.settings.node_id, ctx.revision.revision, str(ctx.log.stamp())
     )
     answered = await ctx.ask_peer(peer_id, ping, _ASK_S)
-    now_s = time.monotonic()
+    now_s = trio.current_time()
     if answered.is_error() or not isinstance(answered.ok, messages.Pong):
         known = ctx.window.samples_by_id.get(peer_id)
         if known is None or known.heard:
@@ -110,7 +109,7 @@
     """Give the answer to a ping."""
     store_age_ms = -1
     if ctx.store_seen_s is not None:
-        store_age_ms = int((time.monotonic() - ctx.store_seen_s) * _MS)
+        store_age_ms = int((trio.current_time() - ctx.store_seen_s) * _MS)
     load = ctx.n_running / ctx.settings.node_capacity
     return messages.Pong(
         ctx.settings.node_id,
@@ -125,8 +124,8 @@
 async def _wait_or_spread(ctx: NodeContext, spread_revision: int) -> int:
     """Wait until the next sample; spread a revision the moment it is new."""
     pause_s = ctx.settings.poll_s / 10
-    wake_s = time.monotonic() + ctx.settings.poll_s
-    while time.monotonic() < wake_s:
+    wake_s = trio.current_time() + ctx.settings.poll_s
+    while trio.current_time() < wake_s:
         if ctx.revision.revision > spread_revision:
             spread_revision = ctx.revision.revision
             news = messages.RevisionNews(ctx.settings.node_id, spread_revision)
--- a/packages/node/src/turmericcrank_node/service_desk.py
+++ b/packages/node/src/turmericcrank_node/service_desk.py
@@ -1,6 +1,5 @@
 """Relays calls of plain services; some of them run at most once."""
 
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -172,7 +171,7 @@
     refusal = Refusal(ResultCode.unreachable, retry_after_s=_COME_BACK_S)
     for _attempt in range(_MAX_ATTEMPTS):
         if is_too_late(
-            won.claimed_s, time.monotonic(), ctx.settings.claim_limit_s
+            won.claimed_s, trio.current_time(), ctx.settings.claim_limit_s
         ):
             break
         sent = await _send_once(ctx, call, ring, tried)
--- a/packages/node/src/turmericcrank_node/tables_desk.py
+++ b/packages/node/src/turmericcrank_node/tables_desk.py
@@ -4,6 +4,7 @@
 import time
 from typing import Any
 
+import trio
 from expression import Error, Ok, Result
 from turmericcrank_core.codes import ResultCode
 from turmericcrank_core.errors import Refusal
@@ -106,7 +107,9 @@
         The accepted patch; a refusal with code conflict, no majority or
         acceptance unknown otherwise. Sending the same token again is safe.
     """
-    if not has_majority(ctx.window, time.monotonic(), ctx.settings.freshness):
+    if not has_majority(
+        ctx.window, trio.current_time(), ctx.settings.freshness
+    ):
         return Error(Refusal(ResultCode.no_majority, retry_after_s=2))
     if ctx.revision.revision < seen_revision:
         return Error(Refusal(ResultCode.no_tables, retry_after_s=1))
@@ -241,7 +244,7 @@
         revision=patch.revision,
         operator=patch.operator,
     )
-    hear_revision(ctx.revision, patch.revision, time.monotonic())
+    hear_revision(ctx.revision, patch.revision, trio.current_time())
     adopt_patches(ctx, [patch], 'operator')
     if patch.revision % _SNAPSHOT_EVERY == 0:
         await _keep_snapshot(ctx)
--- a/packages/node/src/turmericcrank_node/watcher.py
+++ b/packages/node/src/turmericcrank_node/watcher.py
@@ -1,6 +1,5 @@
 """Watches the platform: head of the tables, VM list, roll-outs."""
 
-import time
 from collections.abc import Iterator
 
 import trio
@@ -36,15 +35,16 @@
 
 
 async def _watch_once(ctx: NodeContext) -> None:
-    asked_s = time.monotonic()
-    was_down = ctx.store.seems_down
+    asked_s = trio.current_time()
     watched = list(_iter_watched_keys(ctx))
     found = await ctx.store.read([('tables', 'head'), *watched])
     if found.is_error():
-        if ctx.store.seems_down and not was_down:
+        if ctx.store.seems_down and not ctx.is_store_lost:
+            ctx.is_store_lost = True
             ctx.log.write(EventCode.store_lost, detail=found.error.detail)
         return
-    if was_down:
+    if ctx.is_store_lost:
+        ctx.is_store_lost = False
         ctx.log.write(EventCode.store_found)
     head, *watched_rows = found.ok
     if head.body is not None:
@@ -59,7 +59,7 @@
 
 
 async def _follow_head(ctx: NodeContext, revision: int) -> None:
-    hear_revision(ctx.revision, revision, time.monotonic())
+    hear_revision(ctx.revision, revision, trio.current_time())
     if revision > ctx.revision.revision:
         await fetch_patches(ctx)
 
--- /dev/null
+++ b/tests/core/test_billing.py
@@ -0,0 +1,96 @@
+"""Each request is billed exactly once, whoever writes the batch."""
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+from turmericcrank_core.billing import (
+    Batch,
+    BatchBook,
+    absorb_row,
+    add_bill,
+    check_bill,
+    count_distinct,
+    make_cost,
+    plan_chain_write,
+    seal_batch,
+    start_chain,
+    write_bill,
+)
+
+from tests.builders import make_bill
+
+_N_BILLS = 8
+
+
+def _make_batch(numbers):
+    bills = [make_bill(number) for number in sorted(numbers)]
+    return Batch('batch', {bill.bill_id: bill for bill in bills})
+
+
+class _Writer:
+    """One writer; each step is one write, whose reply may be lost."""
+
+    def __init__(self, numbers):
+        self.chain = start_chain(_make_batch(numbers))
+
+    def step(self, rows, is_reply_lost):
+        planned = plan_chain_write(self.chain)
+        if planned is None:
+            return
+        stands = rows.setdefault(planned.key, planned.bills)
+        if not is_reply_lost:
+            absorb_row(self.chain, stands)
+
+    def finish(self, rows):
+        while plan_chain_write(self.chain) is not None:
+            self.step(rows, is_reply_lost=False)
+
+
+_parts = st.lists(st.sets(st.integers(0, _N_BILLS - 1)), min_size=1, max_size=4)
+
+
+@given(_parts, st.lists(st.tuples(st.integers(0, 9), st.booleans())))
+def test_any_writers_in_any_order_write_each_bill_once(parts, steps):
+    rows = {}
+    writers = [_Writer(part) for part in parts]
+    for index, is_reply_lost in steps:
+        writers[index % len(writers)].step(rows, is_reply_lost)
+    for writer in writers:
+        writer.finish(rows)
+    written = Counter(
+        check_bill(raw).bill_id for row in rows.values() for raw in row
+    )
+    expected = {f'bill-{number}' for part in parts for number in part}
+    assert set(written) == expected
+    assert set(written.values()) <= {1}
+
+
+def test_sending_a_batch_again_changes_nothing():
+    rows = {}
+    _Writer({1, 2}).finish(rows)
+    before = dict(rows)
+    _Writer({1, 2}).finish(rows)
+    assert rows == before
+
+
+def test_a_sealed_batch_takes_no_more_bills():
+    book = BatchBook('node-1')
+    first = add_bill(book, make_bill(1))
+    assert seal_batch(book).name == first
+    assert add_bill(book, make_bill(2)) != first
+    assert seal_batch(BatchBook('node-2')) is None
+
+
+@given(st.lists(st.lists(st.integers(0, 5))))
+def test_a_keyed_request_that_two_nodes_ran_counts_once(numbers):
+    rows = [
+        [write_bill(make_bill(number)) for number in row] for row in numbers
+    ]
+    counted = [bill.bill_id for bill in count_distinct(rows)]
+    assert len(counted) == len(set(counted))
+    assert set(counted) == {f'bill-{one}' for row in numbers for one in row}
+
+
+def test_prices_are_for_a_thousand_tokens():
+    assert make_cost(1000, 500, 10, 40) == 30
--- /dev/null
+++ b/tests/core/test_freshness.py
@@ -0,0 +1,105 @@
+"""Who may go on without the store, and who must stop."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from turmericcrank_core.freshness import (
+    Freshness,
+    FreshnessSettings,
+    PeerSample,
+    SampleWindow,
+    has_majority,
+    note_sample,
+    plan_freshness,
+)
+
+_SETTINGS = FreshnessSettings(bound_s=4, window_s=4)
+
+
+def _make_window(n_nodes, own, heard, store_seen_s=None, at_s=100.0):
+    others = [node for node in range(n_nodes) if node != own]
+    window = SampleWindow(frozenset(map(str, others)))
+    for node in others:
+        is_heard = node in heard
+        seen_s = store_seen_s if is_heard else None
+        note_sample(window, str(node), PeerSample(at_s, is_heard, seen_s))
+    return window
+
+
+@given(st.integers(1, 9), st.data())
+def test_no_cut_lets_one_side_accept_while_the_other_goes_on(n_nodes, drawn):
+    """Two sides of a cut are never both sure that they are most nodes."""
+    side = drawn.draw(st.sets(st.integers(0, n_nodes - 1)))
+    other = set(range(n_nodes)) - side
+    accepts = [
+        has_majority(_make_window(n_nodes, node, side), 100, _SETTINGS)
+        for node in side
+    ]
+    goes_on = [
+        plan_freshness(
+            _make_window(n_nodes, node, other), None, None, 100, _SETTINGS
+        )
+        is not Freshness.cut_off
+        for node in other
+    ]
+    assert not (any(accepts) and any(goes_on))
+
+
+@given(st.integers(1, 9))
+def test_a_store_that_is_down_for_all_stops_nobody(n_nodes):
+    everyone = set(range(n_nodes))
+    for node in everyone:
+        window = _make_window(n_nodes, node, everyone)
+        planned = plan_freshness(window, 0, None, 100, _SETTINGS)
+        assert planned is Freshness.store_down
+
+
+def test_a_node_that_alone_lost_the_store_lives_by_its_peers():
+    window = _make_window(3, 0, {1, 2}, store_seen_s=99)
+    planned = plan_freshness(window, 0, None, 100, _SETTINGS)
+    assert planned is Freshness.fresh
+
+
+def test_a_node_that_lost_store_and_peers_stops():
+    window = _make_window(3, 0, set())
+    planned = plan_freshness(window, 95, None, 100, _SETTINGS)
+    assert planned is Freshness.cut_off
+
+
+@given(st.floats(4.1, 1e6))
+def test_a_node_that_wakes_from_a_pause_trusts_nothing_it_knew(pause_s):
+    window = _make_window(3, 0, {1, 2}, store_seen_s=100)
+    planned = plan_freshness(window, 100, None, 100 + pause_s, _SETTINGS)
+    assert planned is Freshness.cut_off
+
+
+def test_a_node_that_knows_of_a_newer_revision_stops_in_time():
+    window = _make_window(3, 0, {1, 2}, store_seen_s=100)
+    assert plan_freshness(window, 100, 99, 100, _SETTINGS) is Freshness.fresh
+    planned = plan_freshness(window, 100, 95, 100, _SETTINGS)
+    assert planned is Freshness.cut_off
+
+
+def test_a_peer_off_the_list_counts_for_nothing():
+    window = _make_window(3, 0, {1, 2})
+    window.listed = frozenset({'5', '6', '7'})
+    assert not has_majority(window, 100, _SETTINGS)
+
+
+def _share_that_goes_on(reachable, n_trials=300, n_nodes=490, n_samples=80):
+    random_source = random.Random(7)
+    n_on = 0
+    for _trial in range(n_trials):
+        window = SampleWindow(frozenset(map(str, range(1, n_nodes))))
+        for node in random_source.sample(range(1, n_nodes), n_samples):
+            heard = random_source.random() < reachable
+            note_sample(window, str(node), PeerSample(100, heard))
+        n_on += has_majority(window, 100, _SETTINGS)
+    return n_on / n_trials
+
+
+def test_samples_of_490_nodes_tell_a_third_from_two_thirds():
+    assert _share_that_goes_on(1 / 3) == 0
+    assert _share_that_goes_on(0.5) < 0.12
+    assert _share_that_goes_on(5 / 6) == 1
--- /dev/null
+++ b/tests/core/test_revisions.py
@@ -0,0 +1,71 @@
+"""An accepted configuration never reverts."""
+
+from itertools import chain
+
+from hypothesis import given
+from hypothesis import strategies as st
+from turmericcrank_core.revisions import (
+    RevisionState,
+    Snapshot,
+    adopt_patch,
+    adopt_snapshot,
+    hear_revision,
+    is_own_patch,
+    make_snapshot,
+)
+
+from tests.builders import make_patch, make_raw_tables
+
+_N_PATCHES = 6
+_PATCHES = [
+    make_patch(number, deadline_s=number) for number in range(1, _N_PATCHES)
+]
+_SNAPSHOTS = [
+    Snapshot(number, make_raw_tables(deadline_s=number))
+    for number in range(1, _N_PATCHES)
+]
+_messages = st.lists(st.sampled_from([*_PATCHES, *_SNAPSHOTS]), max_size=40)
+
+
+def _deliver(state, message):
+    if isinstance(message, Snapshot):
+        return adopt_snapshot(state, message)
+    return adopt_patch(state, message)
+
+
+@given(_messages)
+def test_no_order_of_messages_takes_a_node_back(messages):
+    state = RevisionState()
+    for message in messages:
+        before = state.revision
+        _deliver(state, message)
+        assert state.revision >= before
+        if state.revision:
+            deadline_s = state.tables.routes_by_name['quotes'].deadline_s
+            assert deadline_s == state.revision
+
+
+@given(_messages)
+def test_a_node_that_has_missed_anything_catches_up(messages):
+    state = RevisionState()
+    for message in chain(messages, _PATCHES):
+        _deliver(state, message)
+    assert state.revision == _N_PATCHES - 1
+    assert make_snapshot(state).raw == _SNAPSHOTS[-1].raw
+
+
+@given(_messages)
+def test_a_node_knows_since_when_it_is_behind(messages):
+    state = RevisionState()
+    for now_s, message in enumerate(messages):
+        hear_revision(state, message.revision, float(now_s))
+        _deliver(state, message)
+        is_behind = state.heard_revision > state.revision
+        assert (state.behind_since_s is not None) == is_behind
+
+
+def test_a_lost_acceptance_reply_is_known_by_its_token():
+    patch = make_patch(1)
+    assert is_own_patch(patch, patch.token)
+    assert not is_own_patch(patch, 'another')
+    assert not is_own_patch(None, patch.token)
--- /dev/null
+++ b/tests/core/test_suspects.py
@@ -0,0 +1,87 @@
+"""A request that crashes upstreams is stopped; its neighbours are not."""
+
+from itertools import chain
+
+from hypothesis import given
+from hypothesis import strategies as st
+from turmericcrank_core.suspects import (
+    CrashRecord,
+    SuspectBook,
+    add_crash,
+    clear_suspect,
+    count_crashes,
+    is_convicted,
+    is_suspect,
+)
+
+_records = st.lists(
+    st.builds(
+        CrashRecord,
+        st.sampled_from(['u1', 'u2', 'u3']),
+        st.integers(0, 40).map(float),
+        st.frozensets(st.sampled_from(['poison', 'a', 'b']), min_size=1),
+    ),
+    max_size=8,
+)
+
+
+def _crash(book, upstream_id, at_s, *fingerprints):
+    add_crash(book, CrashRecord(upstream_id, at_s, frozenset(fingerprints)))
+
+
+def test_two_crashes_convict_and_neighbours_stay_free():
+    book = SuspectBook()
+    _crash(book, 'u1', 10.0, 'poison', 'a', 'b')
+    assert is_suspect(book, 'a')
+    assert not is_convicted(book, 'poison')
+    clear_suspect(book, 'a', 11.0)
+    _crash(book, 'u2', 20.0, 'poison', 'c')
+    assert is_convicted(book, 'poison')
+    assert not any(is_convicted(book, other) for other in 'abc')
+
+
+def test_two_suspects_in_one_crash_convict_neither():
+    book = SuspectBook()
+    _crash(book, 'u1', 10.0, 'poison', 'a')
+    _crash(book, 'u2', 20.0, 'poison', 'a')
+    assert not is_convicted(book, 'poison')
+    _crash(book, 'u3', 30.0, 'poison')
+    assert is_convicted(book, 'poison')
+    assert not is_convicted(book, 'a')
+
+
+def test_one_crash_seen_by_two_nodes_counts_once():
+    book = SuspectBook()
+    _crash(book, 'u1', 10.0, 'poison')
+    _crash(book, 'u1', 10.8, 'poison', 'a')
+    assert count_crashes(book, 'poison') == 1
+
+
+@given(_records)
+def test_repeated_records_change_nothing(records):
+    once, twice = SuspectBook(), SuspectBook()
+    for record in records:
+        add_crash(once, record)
+    for record in chain(records, records):
+        add_crash(twice, record)
+    fingerprints = ('poison', 'a', 'b')
+    assert [is_convicted(once, one) for one in fingerprints] == [
+        is_convicted(twice, one) for one in fingerprints
+    ]
+
+
+@given(_records)
+def test_a_request_that_was_in_no_second_crash_is_never_convicted(records):
+    book = SuspectBook()
+    for record in records:
+        add_crash(book, record)
+    for fingerprint in ('poison', 'a', 'b'):
+        if count_crashes(book, fingerprint) < 2:
+            assert not is_convicted(book, fingerprint)
+
+
+def test_old_crashes_are_forgotten():
+    book = SuspectBook(keep_s=100)
+    _crash(book, 'u1', 10.0, 'poison')
+    _crash(book, 'u2', 200.0, 'b')
+    assert not is_suspect(book, 'poison')
--- /dev/null
+++ b/tests/node/test_bill_desk.py
@@ -0,0 +1,157 @@
+"""Bills survive outages and the loss of their node."""
+
+import math
+
+import trio
+from expression import Error, Ok
+from turmericcrank_core.billing import BatchBook, check_bill
+from turmericcrank_core.freshness import PeerSample, note_sample
+from turmericcrank_node.bill_desk import (
+    BillDesk,
+    CopyShelf,
+    commit_bill,
+    serve_bills,
+)
+from turmericcrank_node.peer_server import answer_message
+from turmericcrank_node.vm_list import note_vms
+
+from tests.builders import make_bill
+from tests.fakes import (
+    LOST_REPLY,
+    NOT_DONE,
+    FakeStore,
+    make_context,
+    make_state,
+    run,
+)
+
+
+class _Pair:
+    """Two nodes; the second one holds copies for the first."""
+
+    def __init__(self, nursery, faults=()):
+        self.state = make_state()
+        self.shelves = [CopyShelf(), CopyShelf()]
+        self.nodes = []
+        self.scopes = []
+        self.is_cut = False
+        for index in range(2):
+            store = FakeStore(self.state, faults if index == 0 else ())
+            ctx = make_context(store, f'n{index}', nursery=nursery)
+            rows = [
+                {
+                    'id': f'n{other}',
+                    'role': 'entry',
+                    'data_centre': f'dc{other}',
+                    'state': 'live',
+                }
+                for other in range(2)
+            ]
+            note_vms(ctx, 1, rows)
+            ctx.ask_peer = self._make_asker(1 - index)
+            self.nodes.append(ctx)
+
+    async def start(self, nursery):
+        for index, ctx in enumerate(self.nodes):
+            sender, receiver = trio.open_memory_channel(math.inf)
+            ctx.bill_sender = sender
+            scope = trio.CancelScope()
+            self.scopes.append(scope)
+            desk = BillDesk(BatchBook(ctx.incarnation))
+            nursery.start_soon(self._serve, scope, ctx, desk, index, receiver)
+            await trio.sleep(0)
+        for ctx in self.nodes:
+            other = next(iter(ctx.window.listed))
+            note_sample(ctx.window, other, PeerSample(0, heard=True))
+
+    async def _serve(self, scope, ctx, desk, index, receiver):
+        with scope:
+            await serve_bills(ctx, desk, self.shelves[index], receiver)
+
+    def _make_asker(self, other):
+        async def ask(_peer, message, _timeout_s):
+            if self.is_cut:
+                return Error('cut')
+            return Ok(
+                answer_message(self.nodes[other], self.shelves[other], message)
+            )
+
+        return ask
+
+    def list_bills(self):
+        rows = self.state.rows_by_table.get('bills', {})
+        return sorted(
+            check_bill(raw).bill_id for row in rows.values() for raw in row.body
+        )
+
+
+def _run_pair(work, faults=()):
+    async def main(nursery):
+        pair = _Pair(nursery, faults)
+        await pair.start(nursery)
+        await work(pair)
+        return pair.list_bills()
+
+    return run(main)
+
+
+async def _commit(pair, numbers):
+    for number in numbers:
+        await commit_bill(pair.nodes[0], make_bill(number))
+
+
+def test_bills_are_written_once_in_batches():
+    async def work(pair):
+        await _commit(pair, range(5))
+        await trio.sleep(5)
+        assert len(pair.state.rows_by_table['bills']) < 5
+
+    assert _run_pair(work) == [f'bill-{number}' for number in range(5)]
+
+
+def test_a_lost_reply_doubles_nothing():
+    async def work(pair):
+        await _commit(pair, range(3))
+        await trio.sleep(5)
+
+    expected = [f'bill-{number}' for number in range(3)]
+    assert _run_pair(work, [LOST_REPLY, NOT_DONE, LOST_REPLY]) == expected
+
+
+def test_bills_of_a_lost_node_are_written_by_its_peer():
+    async def work(pair):
+        await _commit(pair, range(3))
+        pair.scopes[0].cancel()
+        await trio.sleep(30)
+
+    assert _run_pair(work) == [f'bill-{number}' for number in range(3)]
+
+
+def test_bills_of_an_outage_survive_the_loss_of_their_node():
+    async def work(pair):
+        for ctx in pair.nodes:
+            ctx.store.is_down = True
+        for number in range(4):
+            await _commit(pair, [number])
+            await trio.sleep(1)
+        pair.scopes[0].cancel()
+        await trio.sleep(600)
+        for ctx in pair.nodes:
+            ctx.store.is_down = False
+            ctx.store.n_failed = 0
+        await trio.sleep(30)
+
+    assert _run_pair(work) == [f'bill-{number}' for number in range(4)]
+
+
+def test_a_paused_node_and_its_peer_write_each_bill_once():
+    async def work(pair):
+        await _commit(pair, range(2))
+        pair.nodes[0].store.is_down = True
+        await _commit(pair, range(2, 4))
+        await trio.sleep(30)
+        await _commit(pair, range(4, 6))
+        pair.nodes[0].store.is_down = False
+        await trio.sleep(30)
+
+    assert _run_pair(work) == [f'bill-{number}' for number in range(6)]
--- /dev/null
+++ b/tests/site/test_cuts.py
@@ -0,0 +1,162 @@
+"""Kills, freezes and cuts of real nodes, and outages of the platform."""
+
+import signal
+import threading
+import time
+
+from turmericcrank_dev.site import wait_until
+
+from tests.site.helpers import (
+    LIMIT_S,
+    ask,
+    find_events,
+    make_caller,
+    post,
+    wait_for_bills,
+    wait_for_fresh,
+)
+
+_REFUSED = 503
+_CUT_OFF = 3007
+_STORE_DOWN = 3006
+
+
+def test_a_frozen_node_that_wakes_sends_a_withdrawn_version_nothing(
+    empty_site,
+):
+    site = empty_site
+    site.start_back_ends()
+    site.start_nodes(['n1', 'n2', 'n3'])
+    assert ask(site, 'n3').status_code == 200
+    site.signal('n3', signal.SIGSTOP)
+    time.sleep(3)
+    path = site.write_json(
+        'withdraw.json',
+        {'revision': 1, **site.change_pool('small-1', state='withdrawn')},
+    )
+    told = site.run_client('apply', str(path))
+    assert 'not confirmed by: n3' in told.stderr
+    site.signal('n3', signal.SIGCONT)
+    for _ in range(20):
+        assert ask(site, 'n3').status_code in {410, _REFUSED}
+    wait_until(
+        lambda: ask(site, 'n3').status_code == 410, LIMIT_S, 'n3 has caught up'
+    )
+
+
+def test_a_node_that_is_cut_off_refuses_and_names_others(empty_site):
+    site = empty_site
+    site.start_back_ends()
+    site.start_nodes(['n1', 'n2', 'n3'], add=site.add_cuttable_node)
+    for other in ('n1', 'n2'):
+        site.signal(f'{other}-peer', signal.SIGUSR1)
+    site.signal('n3-platform', signal.SIGUSR1)
+    wait_until(
+        lambda: ask(site, 'n3').status_code == _REFUSED, LIMIT_S, 'n3 stops'
+    )
+    refusal = ask(site, 'n3').json()['error']
+    assert (refusal['code'], refusal['ran']) == (_CUT_OFF, 'not run')
+    assert refusal['retry_after_s'] > 0
+    for other in ('n1', 'n2'):
+        site.signal(f'{other}-peer', signal.SIGUSR2)
+    site.signal('n3-platform', signal.SIGUSR2)
+    wait_until(
+        lambda: ask(site, 'n3').status_code == 200, LIMIT_S, 'n3 goes on'
+    )
+
+
+def test_a_store_that_is_down_for_all_stops_only_what_needs_a_claim(
+    empty_site,
+):
+    site = empty_site
+    site.start_back_ends()
+    site.start_nodes(['n1', 'n2', 'n3'])
+    site.set_faults(outage=True)
+    wait_until(
+        lambda: find_events(site, 'n2', 'store_lost'), LIMIT_S, 'store lost'
+    )
+    time.sleep(3)
+    assert all(ask(site, node).status_code == 200 for node in ('n1', 'n2'))
+    booked = post(
+        site,
+        'n1',
+        '/services/bays/bookings',
+        {'bay': 1},
+        **{'Idempotency-Key': 'outage'},
+    )
+    refusal = booked.json()['error']
+    assert (refusal['code'], refusal['ran']) == (_STORE_DOWN, 'not run')
+    assert site.read_journal(site.service_port) == []
+    seed = site.nodes_by_name['n1'].peer_address
+    site.kill('n3')
+    site.start_node('n3', seed_peers=[seed])
+    wait_until(
+        lambda: ask(site, 'n3').status_code == 200, LIMIT_S, 'n3 has tables'
+    )
+    site.set_faults(outage=False)
+    wait_for_bills(site, 3)
+
+
+def test_bills_of_an_outage_outlive_the_node_that_made_them(empty_site):
+    site = empty_site
+    site.start_back_ends()
+    site.start_nodes(['n1', 'n2', 'n3'])
+    site.set_faults(outage=True)
+    time.sleep(1)
+    for _ in range(5):
+        assert ask(site, 'n1').status_code == 200
+    site.kill('n1')
+    site.set_faults(outage=False)
+    wait_for_bills(site, 5)
+    assert any(
+        find_events(site, node, 'bill_batch_taken_over')
+        for node in ('n2', 'n3')
+    )
+
+
+def test_a_planned_stop_serves_until_kept_addresses_have_expired(empty_site):
+    site = empty_site
+    site.start_back_ends()
+    site.start_nodes(['n1', 'n2'], keep_s=4)
+    address = site.nodes_by_name['n1'].caller_address
+    site.signal('n1', signal.SIGTERM)
+    other = make_caller(site, node='n2', is_pinned=False)
+
+    def has_left():
+        other.forget_addresses()
+        return address not in other.find_addresses()
+
+    wait_until(has_left, LIMIT_S, 'n1 has left the answers')
+    assert ask(site, 'n1').status_code == 200
+    assert site.wait_for_end('n1', LIMIT_S) == 0
+    wait_for_bills(site, 1)
+
+
+def test_a_stream_in_progress_outlasts_a_hurried_stop(empty_site):
+    site = empty_site
+    site.start_back_ends(token_delay_s=0.1)
+    site.start_nodes(['n1', 'n2'])
+    ends = []
+    caller = make_caller(site, node='n1')
+    worker = threading.Thread(
+        target=lambda: ends.append(caller.ask('quotes', 'long', stream=True))
+    )
+    worker.start()
+    wait_until(lambda: find_events(site, 'n1', 'request_sent'), LIMIT_S, 'sent')
+    site.signal('n1', signal.SIGTERM)
+    site.signal('n1', signal.SIGTERM)
+    worker.join()
+    assert ends[0].whole
+    assert site.wait_for_end('n1', LIMIT_S) == 0
+    wait_for_bills(site, 1)
+
+
+def test_a_lost_acceptance_reply_makes_one_revision(empty_site):
+    site = empty_site
+    site.start_back_ends()
+    site.start_nodes(['n1', 'n2'])
+    site.set_faults(lose_replies=1)
+    told = site.apply_tables(site.change_route('quotes', deadline_s=50))
+    assert 'accepted as revision 2' in told
+    wait_for_fresh(site)
+    assert site.read_status()['revision'] == 2
--- /dev/null
+++ b/tests/site/test_upstreams.py
@@ -0,0 +1,180 @@
+"""Upstreams that crash, break streams, leave, or turn bad."""
+
+import threading
+
+import pytest
+from turmericcrank_dev.site import wait_until
+
+from tests.site.helpers import (
+    LIMIT_S,
+    ask,
+    find_events,
+    list_bills,
+    make_caller,
+    post,
+    wait_for_bills,
+)
+
+_POISON = 'please CRASH-THE-ENGINE now'
+_POISONED = 2012
+
+
+@pytest.fixture
+def site(empty_site):
+    empty_site.start_back_ends(n_small=4, token_delay_s=0.05)
+    empty_site.start_nodes(['n1', 'n2'])
+    return empty_site
+
+
+def _count_dead(site):
+    return sum(not site.is_running(f'small-{index}') for index in range(4))
+
+
+def _ask_in_threads(caller, prompts):
+    ends = []
+    workers = [
+        threading.Thread(
+            target=lambda text=prompt: ends.append(
+                caller.ask('quotes', text, stream=True)
+            )
+        )
+        for prompt in prompts
+    ]
+    for worker in workers:
+        worker.start()
+    return ends, workers
+
+
+def test_a_poisonous_request_crashes_two_upstreams_and_blames_no_other(site):
+    ends, workers = _ask_in_threads(
+        make_caller(site), [f'innocent {number}' for number in range(8)]
+    )
+    wait_until(
+        lambda: len(find_events(site, 'n1', 'request_sent')) > 2,
+        LIMIT_S,
+        'innocents run',
+    )
+    first = ask(site, 'n1', _POISON)
+    assert first.json()['error']['code'] == _POISONED
+    for node in ('n1', 'n2'):
+        again = ask(site, node, _POISON)
+        assert again.status_code == 422
+        assert again.json()['error']['ran'] == 'not run'
+    for worker in workers:
+        worker.join()
+    assert _count_dead(site) == 2
+    assert all(end.whole for end in ends), ends
+    wait_for_bills(site, 8)
+
+
+def test_a_broken_stream_goes_on_at_another_upstream_and_is_billed_once(site):
+    whole = ask(site, 'n1', 'plan').json()['choices'][0]['message']['content']
+    for index in range(3):
+        port = site.engine_ports[f'small-{index}']
+        site.set_faults(port, die_after_tokens=3)
+    caller = make_caller(site)
+    ends = [caller.ask('quotes', 'plan', stream=True) for _ in range(6)]
+    assert [end.text for end in ends] == [whole] * 6
+    wait_for_bills(site, 7)
+    assert {bill.tokens_out for bill in list_bills(site)} == {
+        len(whole.split())
+    }
+
+
+def test_a_stream_that_cannot_go_on_ends_with_an_error_and_no_bill(site):
+    for index in range(4):
+        port = site.engine_ports[f'small-{index}']
+        site.set_faults(port, die_after_tokens=3)
+    answer = ask(site, 'n1', 'plan', stream=True)
+    assert answer.status_code == 200
+    assert '[DONE]' not in answer.text
+    assert '"code": 4003' in answer.text.splitlines()[-2]
+    assert list_bills(site) == []
+
+
+def test_a_leaving_upstream_gets_no_new_work(site):
+    site.list_vm('small-0', 'upstream', 'leaving')
+    wait_until(
+        lambda: (
+            find_events(site, 'n1', 'upstream_leaving')
+            and find_events(site, 'n2', 'upstream_leaving')
+        ),
+        3,
+        'both nodes know',
+    )
+    wait_until(lambda: _sends_elsewhere(site), 3, 'small-0 gets nothing')
+
+
+def _sends_elsewhere(site):
+    before = _count_sent(site)
+    for node in ('n1', 'n2') * 4:
+        assert ask(site, node).status_code == 200
+    return _count_sent(site) == before
+
+
+def _count_sent(site):
+    return sum(
+        '"small-0"' in line
+        for node in ('n1', 'n2')
+        for line in find_events(site, node, 'request_sent')
+    )
+
+
+def test_a_roll_out_to_a_bad_version_is_stopped_by_itself(site):
+    site.set_faults(site.engine_ports['new-0'], mode='error')
+    rollout = {
+        'pool': 'small-2',
+        'replaces': 'small-1',
+        'percents': [50, 100],
+        'step_s': 1,
+        'started_s': 1,
+    }
+    site.apply_tables(site.change_route('quotes', rollout=rollout))
+    wait_until(
+        lambda: (
+            find_events(site, 'n1', 'rollout_step')
+            or find_events(site, 'n2', 'rollout_step')
+        ),
+        LIMIT_S,
+        'the roll-out has begun',
+    )
+
+    def stopped():
+        for node in ('n1', 'n2'):
+            ask(site, node)
+        return site.read_status()['stops']
+
+    wait_until(stopped, LIMIT_S, 'the version is stopped')
+    assert list(site.read_status()['stops'].values()) == ['errors']
+    wait_until(
+        lambda: _answers_all(site),
+        LIMIT_S,
+        'all goes to the old version',
+    )
+
+
+def _answers_all(site):
+    nodes = ('n1', 'n2') * 4
+    return all(ask(site, node).status_code == 200 for node in nodes)
+
+
+def test_an_engine_with_another_version_is_ordered_to_load(site):
+    pools = {**site.tables['pools']}
+    pools['small-2'] = {**pools['small-2'], 'version': '3'}
+    routes = {**site.tables['routes']}
+    routes['texts'] = {
+        'kind': 'model',
+        'teams': ['tills'],
+        'pools': ['small-2'],
+    }
+    site.apply_tables({'routes': routes, 'pools': pools})
+    body = {'model': 'texts', 'messages': [{'role': 'user', 'content': 'x'}]}
+
+    def answered():
+        answer = post(site, 'n1', '/v1/chat/completions', body, team='tills')
+        if answer.status_code != 200:
+            return False
+        assert answer.headers['X-Model-Version'] == 'small@3'
+        return answer.json()['model'] == 'small@3'
+
+    wait_until(answered, LIMIT_S, 'the engine has loaded version 3')
