--- a/packages/client/src/turmericcrank_client/node_calls.py
+++ b/packages/client/src/turmericcrank_client/node_calls.py
@@ -1,5 +1,6 @@
 """Calls the operators' side of the nodes, whichever of them answers."""
 
+import ssl
 from typing import Any
 
 import httpx
@@ -43,7 +44,8 @@
         self._http = httpx.Client(
             timeout=settings.timeout_s,
             headers={'Authorization': f'Bearer {settings.key}'},
-            verify=True if is_plain else settings.ca_path,
+            verify=is_plain
+            or ssl.create_default_context(cafile=settings.ca_path),
             trust_env=False,
         )
 
--- a/packages/dev/src/turmericcrank_dev/engine.py
+++ b/packages/dev/src/turmericcrank_dev/engine.py
@@ -50,6 +50,7 @@
     token_delay_s: float = 0.002,
     slots: int = 8,
     checks_fencing: bool = True,
+    tls_folder: str = '',
 ) -> None:
     """Serve one stand-in engine.
 
@@ -61,11 +62,12 @@
         token_delay_s: Time between tokens, in seconds.
         slots: Streams that run at once.
         checks_fencing: Whether it refuses an old fencing number.
+        tls_folder: Folder of the certificate; empty for plain.
     """
     state = EngineState(
         str(model), str(version), quality, token_delay_s, slots, checks_fencing
     )
-    serve_app(make_engine_app(state), port)
+    serve_app(make_engine_app(state), port, tls_folder)
 
 
 def _reply(body: Any, status: int = 200) -> Response:
--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that drive the real core against modelled back ends."""
--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/experiments/cost.py
@@ -0,0 +1,270 @@
+"""Cost at the quality target, against fixed policies.
+
+The workload has classes of requests that differ in how well each tier does.
+The policy sees the class, but neither the true quality nor how hard one
+request is. Ratings are noisy. Quality is judged by the true quality.
+"""
+
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from turmericcrank_core.cascade import (
+    CascadePolicy,
+    CascadeSettings,
+    choose_way,
+    learn_cost,
+    learn_escalation,
+    learn_final,
+    learn_rating,
+)
+from turmericcrank_dev.experiments.results import (
+    BenchLine,
+    make_line,
+    summarize,
+)
+
+__all__ = ('run_cost',)
+
+TUNING_SEEDS = range(8)
+KEPT_ASIDE_SEEDS = range(100, 112)
+_N_REQUESTS = 12000
+_TARGET = 80
+_SAMPLED_SHARE = 0.1
+_RATING_NOISE = 4
+_COSTS = (10, 100)
+_THRESHOLDS = range(0, 105, 5)
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    """One request and what each tier would make of it.
+
+    Attributes:
+        class_key: Class that the policy sees.
+        qualities: True quality by tier, 0 to 100.
+        ratings: Rating that the rating service would give, by tier.
+        costs: Cost by tier, in microcents.
+        is_rated: Whether its answer is in the sample that is rated.
+    """
+
+    class_key: str
+    qualities: tuple[float, float]
+    ratings: tuple[float, float]
+    costs: tuple[float, float]
+    is_rated: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """Mean cost and true quality of one run."""
+
+    cost: float
+    quality: float
+
+
+_CLASSES = (
+    # name, share, mean quality of the cheap tier and its deviation
+    ('slot check', 0.35, 90, 4),
+    ('reply', 0.25, 84, 8),
+    ('quote', 0.25, 70, 14),
+    ('prep plan', 0.15, 50, 12),
+)
+
+
+def make_workload(seed: int) -> list[Request]:
+    """Make the requests of one seed; the mix of classes drifts."""
+    source = random.Random(seed)
+    shares = [share * source.uniform(0.7, 1.3) for _, share, _, _ in _CLASSES]
+    requests = []
+    for _ in range(_N_REQUESTS):
+        name, _, cheap_mean, deviation = source.choices(_CLASSES, shares)[0]
+        cheap = _clip(source.gauss(cheap_mean, deviation))
+        best = _clip(max(cheap, source.gauss(92, 4)))
+        size = source.lognormvariate(0, 0.5)
+        requests.append(
+            Request(
+                name,
+                (cheap, best),
+                (_rate(source, cheap), _rate(source, best)),
+                (_COSTS[0] * size, _COSTS[1] * size),
+                source.random() < _SAMPLED_SHARE,
+            )
+        )
+    return requests
+
+
+def run_cost() -> Iterator[BenchLine]:
+    """Measure the policy and its baselines on the seeds kept aside."""
+    for kind, may_verify in (('whole', True), ('stream', False)):
+        runs = [_run_seed(seed, may_verify) for seed in KEPT_ASIDE_SEEDS]
+        yield from _describe(kind, runs)
+
+
+@dataclass(slots=True, frozen=True)
+class _Run:
+    """Outcomes of one seed."""
+
+    own: Outcome
+    best: Outcome
+    cheapest: Outcome
+    mix: Outcome
+    hindsight: Outcome
+
+
+def _describe(kind: str, runs: list[_Run]) -> Iterator[BenchLine]:
+    cost = summarize(run.own.cost for run in runs)
+    best = summarize(run.best.cost for run in runs)
+    hindsight = summarize(run.hindsight.cost for run in runs)
+    mix = summarize(run.mix.cost for run in runs)
+    yield make_line(
+        f'cost.{kind}.lowest_quality_of_any_seed',
+        min(run.own.quality for run in runs),
+        'rating',
+        at_least=_TARGET,
+    )
+    yield make_line(
+        f'cost.{kind}.against_hindsight_cascade',
+        cost.mean,
+        'microcents/request',
+        baseline=hindsight.mean,
+        spread=cost.spread,
+        ratio_at_most=1.05,
+    )
+    yield make_line(
+        f'cost.{kind}.against_always_best',
+        cost.mean,
+        'microcents/request',
+        baseline=best.mean,
+        spread=cost.spread,
+        ratio_at_most=0.5,
+    )
+    yield make_line(
+        f'cost.{kind}.against_random_mix',
+        cost.mean,
+        'microcents/request',
+        baseline=mix.mean,
+        spread=cost.spread,
+    )
+    yield make_line(
+        f'cost.{kind}.quality_of_always_cheapest',
+        summarize(run.cheapest.quality for run in runs).mean,
+        'rating',
+    )
+
+
+def _run_seed(seed: int, may_verify: bool) -> _Run:
+    requests = make_workload(seed)
+    return _Run(
+        own=run_policy(requests, seed, may_verify),
+        best=_run_fixed(requests, lambda _request: 1),
+        cheapest=_run_fixed(requests, lambda _request: 0),
+        mix=_run_mix(requests),
+        hindsight=_find_hindsight(requests, may_verify),
+    )
+
+
+def run_policy(
+    requests: list[Request], seed: int, may_verify: bool
+) -> Outcome:
+    """Run the real policy over one workload."""
+    policy = CascadePolicy(
+        CascadeSettings(target=_TARGET, n_tiers=2, may_verify=may_verify)
+    )
+    source = random.Random(seed + 1)
+    cost_sum, quality_sum = 0.0, 0.0
+    for request in requests:
+        cost, tier = _answer(policy, request, source)
+        cost_sum += cost
+        quality_sum += request.qualities[tier]
+    return Outcome(cost_sum / len(requests), quality_sum / len(requests))
+
+
+def _answer(
+    policy: CascadePolicy, request: Request, source: random.Random
+) -> tuple[float, int]:
+    way = choose_way(policy, request.class_key, source)
+    cost = request.costs[way.tier]
+    rating = request.ratings[way.tier]
+    learn_cost(policy, request.class_key, way.tier, cost)
+    if way.threshold == 0:
+        if request.is_rated:
+            learn_rating(policy, request.class_key, way.tier, rating)
+            learn_final(policy, rating)
+        return cost, way.tier
+    learn_rating(policy, request.class_key, way.tier, rating)
+    if rating >= way.threshold:
+        learn_final(policy, rating)
+        return cost, way.tier
+    learn_cost(policy, request.class_key, 1, request.costs[1])
+    learn_rating(policy, request.class_key, 1, request.ratings[1])
+    learn_escalation(policy, request.class_key, rating, request.ratings[1])
+    learn_final(policy, request.ratings[1])
+    return cost + request.costs[1], 1
+
+
+def _run_fixed(
+    requests: list[Request], choose: Callable[[Request], int]
+) -> Outcome:
+    tiers = [choose(request) for request in requests]
+    pairs = list(zip(requests, tiers, strict=True))
+    n_requests = len(requests)
+    return Outcome(
+        sum(request.costs[tier] for request, tier in pairs) / n_requests,
+        sum(request.qualities[tier] for request, tier in pairs) / n_requests,
+    )
+
+
+def _run_mix(requests: list[Request]) -> Outcome:
+    """Mix both tiers at random, just so that the target is met."""
+    cheap = _run_fixed(requests, lambda _request: 0)
+    best = _run_fixed(requests, lambda _request: 1)
+    share = (_TARGET - cheap.quality) / (best.quality - cheap.quality)
+    share = min(1, max(0, share))
+    return Outcome(
+        cheap.cost + share * (best.cost - cheap.cost),
+        cheap.quality + share * (best.quality - cheap.quality),
+    )
+
+
+def _find_hindsight(requests: list[Request], may_verify: bool) -> Outcome:
+    """Find the cheapest fixed cascade that meets the target.
+
+    With verification: one threshold on the rating for all requests. For
+    streams: a fixed tier for each class.
+    """
+    if may_verify:
+        outcomes = [_run_cascade(requests, limit) for limit in _THRESHOLDS]
+    else:
+        outcomes = [
+            _run_fixed(requests, _make_class_choice(chosen))
+            for chosen in range(2 ** len(_CLASSES))
+        ]
+    meeting = [one for one in outcomes if one.quality >= _TARGET]
+    return min(meeting, key=lambda outcome: outcome.cost)
+
+
+def _run_cascade(requests: list[Request], limit: float) -> Outcome:
+    cost, quality = 0.0, 0.0
+    for request in requests:
+        is_refused = request.ratings[0] < limit
+        cost += request.costs[0] + is_refused * request.costs[1]
+        quality += request.qualities[is_refused]
+    return Outcome(cost / len(requests), quality / len(requests))
+
+
+def _make_class_choice(chosen: int) -> Callable[[Request], int]:
+    names = [name for name, _, _, _ in _CLASSES]
+
+    def choose(request: Request) -> int:
+        return (chosen >> names.index(request.class_key)) & 1
+
+    return choose
+
+
+def _rate(source: random.Random, quality: float) -> float:
+    return _clip(source.gauss(quality, _RATING_NOISE))
+
+
+def _clip(rating: float) -> float:
+    return min(100.0, max(0.0, rating))
--- a/packages/dev/src/turmericcrank_dev/platform.py
+++ b/packages/dev/src/turmericcrank_dev/platform.py
@@ -46,13 +46,14 @@
     return app
 
 
-def main(port: int) -> None:
+def main(port: int, tls_folder: str = '') -> None:
     """Serve the platform's stand-in.
 
     Args:
         port: TCP port on 127.0.0.1.
+        tls_folder: Folder of the certificate; empty for plain.
     """
-    serve_app(make_platform_app(PlatformState()), port)
+    serve_app(make_platform_app(PlatformState()), port, tls_folder)
 
 
 def _reply(body: Any, status: int = 200) -> Response:
--- a/packages/dev/src/turmericcrank_dev/service.py
+++ b/packages/dev/src/turmericcrank_dev/service.py
@@ -30,13 +30,14 @@
     return app
 
 
-def main(port: int) -> None:
+def main(port: int, tls_folder: str = '') -> None:
     """Serve one stand-in service.
 
     Args:
         port: TCP port on 127.0.0.1.
+        tls_folder: Folder of the certificate; empty for plain.
     """
-    serve_app(make_service_app(), port)
+    serve_app(make_service_app(), port, tls_folder)
 
 
 def _reply(body: Any, status: int = 200) -> Response:
--- a/packages/dev/src/turmericcrank_dev/site.py
+++ b/packages/dev/src/turmericcrank_dev/site.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -19,6 +20,7 @@
     NodePorts,
     build_client_settings,
     build_node_settings,
+    build_tls_settings,
 )
 
 __all__ = ('Site', 'find_port', 'wait_until')
@@ -51,23 +53,38 @@
 
 
 class Site:
-    """Processes of one site; ends every process that it started."""
+    """Processes of one site; ends every process that it started.
 
-    def __init__(self) -> None:
+    Args:
+        tls_folder: Folder of ``ca.pem``, ``cert.pem`` and ``key.pem``; all
+            connections speak TLS then. Empty for plain.
+    """
+
+    def __init__(self, tls_folder: str = '') -> None:
+        self.tls_folder = tls_folder
+        self.scheme = 'https' if tls_folder else 'http'
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='turmericcrank-'))
         self.platform_port = find_port()
         self.nodes_by_name: dict[str, NodePorts] = {}
         self.platform_relays_by_node: dict[str, int] = {}
         self.peer_relays_by_node: dict[str, int] = {}
         self._processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
-        self._http = httpx.Client(timeout=_CALL_S, trust_env=False)
+        self._http = httpx.Client(
+            timeout=_CALL_S, trust_env=False, verify=self.make_verify()
+        )
+
+    def make_verify(self) -> ssl.SSLContext | bool:
+        """Make what httpx needs to check this site's certificates."""
+        if not self.tls_folder:
+            return True
+        return ssl.create_default_context(cafile=f'{self.tls_folder}/ca.pem')
 
     def start_platform(self) -> None:
         """Start the platform's stand-in."""
         self._start_module(
             'platform', 'platform', ['--port', str(self.platform_port)]
         )
-        self._wait_for(f'http://127.0.0.1:{self.platform_port}/counts')
+        self._wait_for(f'{self.scheme}://127.0.0.1:{self.platform_port}/counts')
 
     def start_engine(self, name: str, **options: Any) -> int:
         """Start an engine, list its VM, and give its port."""
@@ -76,7 +93,7 @@
         for option, setting in options.items():
             arguments.extend((f'--{option}', str(setting)))
         self._start_module(name, 'engine', arguments)
-        self._wait_for(f'http://127.0.0.1:{port}/load')
+        self._wait_for(f'{self.scheme}://127.0.0.1:{port}/load')
         self.list_vm(name, 'upstream', 'live', data_centre='dc1')
         return port
 
@@ -84,7 +101,7 @@
         """Start a plain service and give its port."""
         port = find_port()
         self._start_module(name, 'service', ['--port', str(port)])
-        self._wait_for(f'http://127.0.0.1:{port}/journal')
+        self._wait_for(f'{self.scheme}://127.0.0.1:{port}/journal')
         self.list_vm(name, 'upstream', 'live', data_centre='dc1')
         return port
 
@@ -125,15 +142,23 @@
             str(self.log_path(name)),
             **changed,
         )
+        if self.tls_folder:
+            settings.update(build_tls_settings(self.tls_folder))
+            settings['platform_url'] = settings['platform_url'].replace(
+                'http:', 'https:'
+            )
         path = self.write_json(f'{name}.json', settings)
         command = pathlib.Path(sys.executable).with_name('turmericcrankd')
         self._start(name, [str(command), f'--settings={path}'])
-        self._wait_for(f'http://{ports.caller_address}/health')
+        self._wait_for(f'{self.scheme}://{ports.caller_address}/health')
 
     def client_command(self, *arguments: str) -> list[str]:
         """Give a command line of the operators' client."""
         nodes = [ports.caller_address for ports in self.nodes_by_name.values()]
-        path = self.write_json('client.json', build_client_settings(nodes))
+        settings = build_client_settings(nodes)
+        if self.tls_folder:
+            settings['ca_path'] = f'{self.tls_folder}/ca.pem'
+        path = self.write_json('client.json', settings)
         command = pathlib.Path(sys.executable).with_name('turmericcrank')
         return [str(command), f'--settings={path}', *arguments]
 
@@ -168,7 +193,7 @@
         """
         headers = {'Authorization': f'Bearer {OPERATOR_KEY}'}
         for ports in self.nodes_by_name.values():
-            url = f'http://{ports.caller_address}/admin/status'
+            url = f'{self.scheme}://{ports.caller_address}/admin/status'
             with contextlib.suppress(httpx.HTTPError):
                 return dict(self._http.get(url, headers=headers).json())
         raise RuntimeError('no node answers')
@@ -185,7 +210,7 @@
 
     def list_vm(self, name: str, role: str, state: str, **fields: str) -> None:
         """Put a row on the VM list."""
-        url = f'http://127.0.0.1:{self.platform_port}/vms/{name}'
+        url = f'{self.scheme}://127.0.0.1:{self.platform_port}/vms/{name}'
         row = {'role': role, 'state': state, 'data_centre': 'dc1', **fields}
         self._http.put(url, json=row).raise_for_status()
 
@@ -204,19 +229,21 @@
 
     def set_faults(self, port: int | None = None, **faults: Any) -> None:
         """Ask a stand-in for faults; the platform when no port is given."""
-        url = f'http://127.0.0.1:{port or self.platform_port}/faults'
+        url = f'{self.scheme}://127.0.0.1:{port or self.platform_port}/faults'
         self._http.post(url, json=faults).raise_for_status()
 
     def scan_table(self, table: str) -> Iterator[dict[str, Any]]:
         """Read all rows of a table at the platform's stand-in."""
-        url = f'http://127.0.0.1:{self.platform_port}/tables/scan'
+        url = f'{self.scheme}://127.0.0.1:{self.platform_port}/tables/scan'
         asked = {'table': table, 'limit': 100000}
         yield from self._http.post(url, json=asked).json()['rows']
 
     def read_journal(self, port: int) -> list[dict[str, Any]]:
         """Read what a plain service has booked."""
         return list(
-            self._http.get(f'http://127.0.0.1:{port}/journal').json()['journal']
+            self._http.get(f'{self.scheme}://127.0.0.1:{port}/journal').json()[
+                'journal'
+            ]
         )
 
     def signal(self, name: str, number: signal.Signals) -> None:
@@ -269,10 +296,10 @@
     def _start_module(
         self, name: str, module: str, arguments: list[str]
     ) -> None:
-        self._start(
-            name,
-            [sys.executable, '-m', f'turmericcrank_dev.{module}', *arguments],
-        )
+        command = [sys.executable, '-m', f'turmericcrank_dev.{module}']
+        if self.tls_folder:
+            arguments = [*arguments, '--tls_folder', self.tls_folder]
+        self._start(name, [*command, *arguments])
 
     def _start(self, name: str, command: list[str]) -> None:
         output = (self.folder / f'{name}.out').open('ab')
--- a/packages/dev/src/turmericcrank_dev/site_data.py
+++ b/packages/dev/src/turmericcrank_dev/site_data.py
@@ -14,6 +14,7 @@
     'build_pool',
     'build_route',
     'build_tables',
+    'build_tls_settings',
 )
 
 OPERATOR_KEY = 'operator-key'
@@ -92,6 +93,18 @@
     return {'nodes': nodes, 'key': OPERATOR_KEY}
 
 
+def build_tls_settings(folder: str) -> dict[str, Any]:
+    """Build the node settings that turn TLS on."""
+    return {
+        'tls': {
+            'certificate_path': f'{folder}/cert.pem',
+            'key_path': f'{folder}/key.pem',
+            'ca_path': f'{folder}/ca.pem',
+        },
+        'upstream_scheme': 'https',
+    }
+
+
 def build_pool(plan: PoolPlan) -> dict[str, Any]:
     """Build the raw row of a pool."""
     upstreams = {
--- a/packages/dev/src/turmericcrank_dev/stand_in_web.py
+++ b/packages/dev/src/turmericcrank_dev/stand_in_web.py
@@ -23,15 +23,19 @@
     return app
 
 
-def serve_app(app: Any, port: int) -> None:
+def serve_app(app: Any, port: int, tls_folder: str = '') -> None:
     """Serve until SIGTERM or SIGINT.
 
     Args:
         app: Application to serve.
         port: TCP port on 127.0.0.1.
+        tls_folder: Folder of ``cert.pem`` and ``key.pem``; empty for plain.
     """
     config = Config()
     config.bind = [f'127.0.0.1:{port}']
+    if tls_folder:
+        config.certfile = f'{tls_folder}/cert.pem'
+        config.keyfile = f'{tls_folder}/key.pem'
     config.accesslog = None
     config.errorlog = None
     config.graceful_timeout = 0
--- a/packages/node/src/turmericcrank_node/conductor.py
+++ b/packages/node/src/turmericcrank_node/conductor.py
@@ -202,7 +202,7 @@
     }
     try:
         response = await ctx.upstream_http.post(
-            f'http://{upstream.address}/orders',
+            ctx.url_of(upstream.address, '/orders'),
             json=order,
             timeout=_ORDER_TIMEOUT_S,
         )
--- a/packages/node/src/turmericcrank_node/context.py
+++ b/packages/node/src/turmericcrank_node/context.py
@@ -151,6 +151,10 @@
     bill_sender: Any = None
     nursery: Any = None
 
+    def url_of(self, address: str, path: str) -> str:
+        """Give the URL of a path at an upstream."""
+        return f'{self.settings.upstream_scheme}://{address}{path}'
+
     def freshness(self) -> Freshness:
         """Decide now whether the tables may be relied on."""
         return plan_freshness(
--- a/packages/node/src/turmericcrank_node/dispatch.py
+++ b/packages/node/src/turmericcrank_node/dispatch.py
@@ -207,7 +207,7 @@
 ) -> dict[str, object] | None:
     try:
         response = await ctx.upstream_http.get(
-            f'http://{upstream.address}/load', timeout=_REPORT_TIMEOUT_S
+            ctx.url_of(upstream.address, '/load'), timeout=_REPORT_TIMEOUT_S
         )
         report = response.json()
     except (httpx.HTTPError, ValueError):
--- a/packages/node/src/turmericcrank_node/model_calls.py
+++ b/packages/node/src/turmericcrank_node/model_calls.py
@@ -197,7 +197,7 @@
             outcome = await send_upstream(
                 ctx.upstream_http,
                 'POST',
-                f'http://{upstream.address}{_PATH}',
+                ctx.url_of(upstream.address, _PATH),
                 json.dumps(call.request.asked).encode(),
                 headers,
             )
--- a/packages/node/src/turmericcrank_node/service_desk.py
+++ b/packages/node/src/turmericcrank_node/service_desk.py
@@ -243,7 +243,7 @@
     outcome = await send_upstream(
         ctx.fresh_http,
         call.method,
-        f'http://{address}/{call.path}',
+        ctx.url_of(address, f'/{call.path}'),
         call.body,
         _make_headers(call),
     )
--- a/packages/node/src/turmericcrank_node/settings.py
+++ b/packages/node/src/turmericcrank_node/settings.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 from turmericcrank_core.admission import TeamLimits
 from turmericcrank_core.constraints import (
+    Choice,
     FieldFault,
     Number,
     Record,
@@ -33,6 +34,7 @@
     'operators': Record(dict),
     'seed_peers': Record(list, []),
     'tls': Record(dict, {}),
+    'upstream_scheme': Choice(('http', 'https'), 'http'),
     'statsd_address': Text(default='none'),
     'log_path': Text(default='-'),
     'keep_s': Number(0.1, _HOUR_S, 5),
@@ -91,6 +93,7 @@
     operators_by_key_hash: dict[str, str]
     seed_peers: tuple[str, ...]
     tls: TlsSettings | None
+    upstream_scheme: str
     statsd_address: str
     log_path: str
     keep_s: float
--- /dev/null
+++ b/tests/core/test_limits.py
@@ -0,0 +1,78 @@
+"""Rates, concurrency, retries."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from turmericcrank_core.admission import (
+    AdmissionBook,
+    TeamLimits,
+    admit_request,
+    release_request,
+)
+from turmericcrank_core.codes import CODES, Ran, ResultCode
+from turmericcrank_core.retries import (
+    RetryBudget,
+    earn_retry,
+    plan_delay_s,
+    spend_retry,
+)
+
+_LIMITS = TeamLimits(rate_per_s=10, burst=5, concurrency=1000)
+
+
+@given(st.lists(st.floats(0, 0.2), max_size=60))
+def test_a_team_gets_no_more_than_burst_and_rate(pauses):
+    book = AdmissionBook()
+    now_s, n_admitted = 0.0, 0
+    for pause_s in pauses:
+        now_s += pause_s
+        n_admitted += admit_request(book, 'a', _LIMITS, now_s).is_ok()
+    assert n_admitted <= _LIMITS.burst + _LIMITS.rate_per_s * now_s + 1e-6
+
+
+def test_a_refused_team_is_told_when_to_come_back_and_others_go_on():
+    book = AdmissionBook()
+    for _ in range(5):
+        assert admit_request(book, 'a', _LIMITS, 0).is_ok()
+    refusal = admit_request(book, 'a', _LIMITS, 0).error
+    assert refusal.code is ResultCode.team_rate
+    assert admit_request(book, 'b', _LIMITS, 0).is_ok()
+    assert admit_request(book, 'a', _LIMITS, refusal.retry_after_s).is_ok()
+
+
+def test_concurrency_is_freed_by_the_end_of_a_request():
+    book = AdmissionBook()
+    limits = TeamLimits(1000, 1000, concurrency=1)
+    assert admit_request(book, 'a', limits, 0).is_ok()
+    refusal = admit_request(book, 'a', limits, 1).error
+    assert refusal.code is ResultCode.team_concurrency
+    assert refusal.retry_after_s
+    release_request(book, 'a')
+    assert admit_request(book, 'a', limits, 2).is_ok()
+
+
+@given(st.lists(st.booleans(), max_size=300))
+def test_retries_are_bounded_in_proportion_to_first_attempts(is_retry):
+    budget = RetryBudget(deposit_ratio=0.1, max_tokens=10, tokens=10)
+    n_first = 0
+    n_retries = 0
+    for wants_retry in is_retry:
+        if wants_retry:
+            n_retries += spend_retry(budget)
+        else:
+            n_first += 1
+            earn_retry(budget)
+    assert n_retries <= 10 + 0.1 * n_first + 1e-6
+
+
+@given(st.integers(1, 50), st.floats(0, 0.99))
+def test_a_wait_grows_and_is_bounded(attempt, uniform):
+    assert 0 <= plan_delay_s(attempt, 0.05, 1, uniform) <= 1
+    ceiling_s = plan_delay_s(attempt, 0.05, 1, 1)
+    assert ceiling_s <= plan_delay_s(attempt + 1, 0.05, 1, 1)
+
+
+def test_every_code_has_its_row():
+    assert set(CODES) == set(ResultCode)
+    for code, row in CODES.items():
+        if row.http_status in {429, 410}:
+            assert row.ran is Ran.not_run, code
--- /dev/null
+++ b/tests/core/test_versions.py
@@ -0,0 +1,219 @@
+"""Roll-outs, bad versions, and the cascade."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from turmericcrank_core.cascade import (
+    CascadePolicy,
+    CascadeSettings,
+    choose_way,
+    learn_cost,
+    learn_final,
+    learn_rating,
+)
+from turmericcrank_core.codes import ResultCode
+from turmericcrank_core.exposure import (
+    EvidencePool,
+    ExposureSettings,
+    SpeedBook,
+    UpstreamCounts,
+    absorb_counts,
+    find_fault,
+    judge_speed,
+    mean_rating,
+)
+from turmericcrank_core.requests import (
+    check_model_request,
+    find_route,
+    fingerprint_request,
+    list_allowed_pools,
+    plan_room_share,
+)
+from turmericcrank_core.rollouts import (
+    RolloutProgress,
+    check_progress,
+    choose_first_pool,
+    plan_step,
+    write_progress,
+)
+from turmericcrank_core.tables import Rollout, check_tables
+
+from tests.builders import make_model_request, make_raw_tables, make_tables
+
+_SETTINGS = ExposureSettings()
+_ROLLOUT = Rollout('best', 'cheap', (5, 50, 100), 60, 1000)
+
+
+def test_a_roll_out_moves_only_with_time_and_evidence():
+    first = plan_step(_ROLLOUT, None, has_evidence=False, now_s=1000)
+    assert first == RolloutProgress(0, 1000)
+    assert plan_step(_ROLLOUT, None, True, 999) is None
+    assert plan_step(_ROLLOUT, first, True, 1059) is None
+    assert plan_step(_ROLLOUT, first, False, 2000) is None
+    second = plan_step(_ROLLOUT, first, True, 1060)
+    assert second == RolloutProgress(1, 1060)
+    last = RolloutProgress(2, 1200)
+    assert plan_step(_ROLLOUT, last, True, 9999) is None
+    assert check_progress(write_progress(second)) == second
+
+
+def test_a_stopped_roll_out_stays_stopped():
+    stopped = RolloutProgress(1, 1060, 'errors')
+    assert plan_step(_ROLLOUT, stopped, True, 99999) is None
+    route = make_tables().routes_by_name['quotes']
+    assert choose_first_pool(route, 'cheap', stopped, 0.0) == 'cheap'
+
+
+@given(st.floats(0, 0.999))
+def test_the_share_of_a_step_goes_to_the_new_pool(uniform):
+    raw = make_raw_tables()
+    raw['routes']['quotes']['rollout'] = {
+        'pool': 'best',
+        'replaces': 'cheap',
+        'percents': [5, 50],
+        'step_s': 60,
+        'started_s': 0,
+    }
+    route = check_tables(raw).ok.routes_by_name['quotes']
+    chosen = choose_first_pool(route, 'cheap', RolloutProgress(1, 0), uniform)
+    expected = 'best' if uniform < 0.5 else 'cheap'
+    assert chosen == expected
+    assert choose_first_pool(route, 'cheap', None, uniform) == 'cheap'
+
+
+def _watch(answers):
+    pool = EvidencePool()
+    for upstream_id, counts, baseline in answers:
+        absorb_counts(pool, 'v', upstream_id, counts, baseline, _SETTINGS)
+    return find_fault(pool, 'v', _SETTINGS)
+
+
+def _errors(upstream_id, is_error):
+    return upstream_id, UpstreamCounts(1, int(is_error)), None
+
+
+def _ratings(upstream_id, rating, baseline=80.0):
+    counts = UpstreamCounts(n_ratings=1, rating_sum=rating)
+    return upstream_id, counts, baseline
+
+
+def test_errors_on_several_upstreams_stop_a_version():
+    answers = [_errors(f'u{number % 4}', is_error=True) for number in range(16)]
+    assert _watch(answers) == 'errors'
+
+
+def test_one_bad_upstream_does_not_stop_a_version():
+    answers = [
+        _errors(f'u{number % 4}', number % 4 == 0) for number in range(400)
+    ]
+    assert _watch(answers) == ''
+
+
+def test_a_fall_of_ratings_stops_a_version_and_an_outage_does_not():
+    fall = [_ratings(f'u{number % 4}', 60) for number in range(60)]
+    assert _watch(fall) == 'ratings'
+    assert _watch([_ratings('u1', 10, None), _ratings('u2', 10, None)]) == ''
+
+
+def test_the_baseline_needs_enough_ratings():
+    pool = EvidencePool()
+    for number in range(40):
+        assert (mean_rating(pool, 'v', _SETTINGS) is None) == (number < 30)
+        absorb_counts(pool, 'v', 'u', _ratings('u', 70)[1], None, _SETTINGS)
+    assert mean_rating(pool, 'v', _SETTINGS) == 70
+
+
+def test_a_queue_before_all_versions_makes_none_slow():
+    book = SpeedBook()
+    for _ in range(200):
+        judge_speed(book, 'old', ['new'], 2.0, 0.58)
+        assert not judge_speed(book, 'new', ['old'], 2.1, 0.58)
+    assert judge_speed(book, 'new', ['old'], 9.0, 0.58)
+    assert not judge_speed(SpeedBook(), 'new', [], 0.5, 0.58)
+
+
+def test_a_version_that_is_not_allowed_is_never_chosen():
+    tables = make_tables()
+    denied = find_route(tables, 'quotes', 'tills').error
+    assert denied.code is ResultCode.team_not_allowed
+    denied = find_route(tables, 'large@1', 'planners').error
+    assert denied.code is ResultCode.team_not_allowed
+    assert find_route(tables, 'no', 'tills').error.code is (
+        ResultCode.unknown_route
+    )
+    assert find_route(tables, 'small@1', 'planners').is_ok()
+
+
+@pytest.mark.parametrize(
+    ('state', 'in_session', 'is_allowed'),
+    [
+        ('active', False, True),
+        ('active', True, True),
+        ('retiring', False, False),
+        ('retiring', True, True),
+        ('withdrawn', False, False),
+        ('withdrawn', True, False),
+    ],
+)
+def test_the_state_of_a_pool_decides_who_may_use_it(
+    state, in_session, is_allowed
+):
+    raw = make_raw_tables()
+    raw['pools']['cheap']['state'] = state
+    tables = check_tables(raw).ok
+    route = tables.routes_by_name['quotes']
+    allowed = list_allowed_pools(tables, route, 'small@1', in_session)
+    assert allowed.is_ok() == is_allowed
+
+
+@given(st.recursive(st.none() | st.integers() | st.text(), st.lists))
+def test_nonsense_requests_are_refused(asked):
+    assert check_model_request(asked).is_error()
+
+
+def test_the_fingerprint_is_that_of_the_content():
+    one, other = make_model_request('a'), make_model_request('b')
+    assert fingerprint_request('t', one) == fingerprint_request(
+        't', make_model_request('a', model='another')
+    )
+    assert fingerprint_request('t', one) != fingerprint_request('t', other)
+    assert plan_room_share(0) == 1
+    assert plan_room_share(9) == 0.5
+
+
+def _train(policy, qualities, n_requests, seed):
+    """Run one class of requests whose tiers have fixed mean ratings."""
+    random_source = random.Random(seed)
+    costs, ratings = [], []
+    for _ in range(n_requests):
+        way = choose_way(policy, 'class', random_source)
+        rating = min(100, random_source.gauss(qualities[way.tier], 5))
+        learn_rating(policy, 'class', way.tier, rating)
+        learn_cost(policy, 'class', way.tier, [10, 100][way.tier])
+        learn_final(policy, rating)
+        costs.append([10, 100][way.tier])
+        ratings.append(rating)
+    half = n_requests // 2
+    return sum(costs[half:]) / half, sum(ratings[half:]) / half
+
+
+def _make_policy(target):
+    settings = CascadeSettings(target=target, n_tiers=2, may_verify=False)
+    return CascadePolicy(settings)
+
+
+def test_a_good_cheap_tier_is_used_and_a_poor_one_is_not():
+    cost, _ = _train(_make_policy(80), (90, 95), 2000, 1)
+    assert cost < 20
+    cost, rating = _train(_make_policy(80), (40, 95), 2000, 1)
+    assert rating >= 80
+    cost, rating = _train(_make_policy(94), (40, 95), 2000, 1)
+    assert cost > 90
+
+
+def test_nothing_known_means_the_best_tier():
+    settings = CascadeSettings(target=80, n_tiers=3, explore_share=0)
+    policy = CascadePolicy(settings)
+    assert choose_way(policy, 'c', random.Random(1)).tier == 2
--- a/tests/site/conftest.py
+++ b/tests/site/conftest.py
@@ -15,8 +15,8 @@
 
     __test__ = False
 
-    def __init__(self):
-        super().__init__()
+    def __init__(self, tls_folder=''):
+        super().__init__(tls_folder)
         self.tables = {}
         self.engine_ports = {}
         self.service_port = 0
