Share load news in cells, and meet the quality target at lower cost

Ruled out: more random candidates alone (3 to 16: no gain on old knowledge); private upstreams per node (64 deciders over 32 upstreams leave none). Change: the nodes of a cell tell each other what they have in progress, at once but at most every 0.1 s; the reports only correct for other cells. A session remembers its last three upstreams in its mark. Change: many trials in a new class, few later, always rated; kept answers are rated again on a sample; a shortfall is made good over 1,000 requests. Conclusion: knowledge must be fresh where it is used; sampled ratings must not be selected by themselves.

--- a/packages/core/src/turmericcrank_core/cascade.py
+++ b/packages/core/src/turmericcrank_core/cascade.py
@@ -49,8 +49,8 @@
         classes_by_key: Statistics by class.
         mix: Probability of the dearer one of the two plans.
         n_since_plan: Requests since the last plan.
-        final_sum: Ratings of answers as they were given.
-        n_final: Their number.
+        final_sum: Weighed ratings of answers as they were given.
+        n_final: Their weight.
     """
 
     settings: CascadeSettings
@@ -80,8 +80,8 @@
     if policy.n_since_plan >= policy.settings.plan_every:
         _plan(policy)
     best = policy.settings.n_tiers - 1
-    if random_source.random() < policy.settings.explore_share:
-        return Way(random_source.randrange(best + 1))
+    if random_source.random() < _plan_trial_share(policy.settings, stats):
+        return Way(random_source.randrange(best), is_trial=True)
     if not stats.plans:
         return Way(best)
     return stats.plans[int(random_source.random() < policy.mix)]
@@ -115,10 +115,19 @@
     stats.n_costs += 1
 
 
-def learn_final(policy: CascadePolicy, rating: float) -> None:
-    """Learn the rating of an answer as the caller got it."""
-    policy.final_sum += rating
-    policy.n_final += 1
+def learn_final(
+    policy: CascadePolicy, rating: float, weight: float = 1
+) -> None:
+    """Learn the rating of an answer as the caller got it.
+
+    Args:
+        policy: State of the route.
+        rating: Rating, 0 to 100.
+        weight: Answers that this one stands for, one over the share of
+            the sample that it was drawn with.
+    """
+    policy.final_sum += rating * weight
+    policy.n_final += weight
 
 
 def _find_class(policy: CascadePolicy, class_key: str) -> ClassStats:
@@ -130,6 +139,12 @@
     return stats
 
 
+def _plan_trial_share(settings: CascadeSettings, stats: ClassStats) -> float:
+    """Try often while a class is new, then seldom."""
+    share = settings.n_trials / stats.n_requests
+    return min(settings.max_trial_share, max(settings.trial_share, share))
+
+
 def _plan(policy: CascadePolicy) -> None:
     """Plan again: bisect the price of quality until the aim is met."""
     policy.n_since_plan = 0
@@ -161,12 +176,12 @@
 
 
 def _plan_aim(policy: CascadePolicy) -> float:
+    """Aim over the target while ratings given so far fall short of it."""
     settings = policy.settings
-    aim = settings.target + settings.margin
-    if policy.n_final > settings.prior_weight:
-        shortfall = settings.target - policy.final_sum / policy.n_final
-        aim += settings.gain * max(-settings.margin, shortfall)
-    return aim
+    owed = settings.target * policy.n_final - policy.final_sum
+    repay = owed / settings.repay_requests
+    repay = min(settings.max_repay, max(-settings.margin, repay))
+    return settings.target + settings.margin + repay
 
 
 def _pick(
--- a/packages/core/src/turmericcrank_core/cascade_outlook.py
+++ b/packages/core/src/turmericcrank_core/cascade_outlook.py
@@ -27,10 +27,13 @@
         tier: Tier that answers first.
         threshold: Rating under which the best tier answers instead; 0 for
             a direct answer that is not rated first.
+        is_trial: Whether it is tried in order to learn; its answer should
+            be rated in any case.
     """
 
     tier: int
     threshold: int = 0
+    is_trial: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,22 +46,29 @@
         may_verify: Whether an answer may be rated before it is given; not
             for streams and not where latency weighs more.
         margin: Rating above the target that is aimed at, in points.
-        explore_share: Share of requests that try a cheaper way to learn.
+        trial_share: Share of requests that try a cheaper tier in the end.
+        n_trials: Trials by which a new class is learned quickly.
+        max_trial_share: Share of trials in a new class.
         prior_weight: Weight of the cautious prior, in ratings.
         plan_every: Requests between two plans.
         reliability: Share of the spread of ratings that is true quality.
-        gain: Share of a measured shortfall that is added to the aim.
+        repay_requests: Requests over which a measured shortfall of rating
+            is made good.
+        max_repay: Most rating that is added to the aim for it.
     """
 
     target: float
     n_tiers: int
     may_verify: bool = True
     margin: float = 0.5
-    explore_share: float = 0.03
-    prior_weight: float = 8
+    trial_share: float = 0.005
+    n_trials: float = 20
+    max_trial_share: float = 0.2
+    prior_weight: float = 4
     plan_every: int = 50
-    reliability: float = 0.95
-    gain: float = 0.5
+    reliability: float = 0.9
+    repay_requests: float = 1000
+    max_repay: float = 10
 
 
 def _make_bins() -> list[float]:
--- a/packages/core/src/turmericcrank_core/sessions.py
+++ b/packages/core/src/turmericcrank_core/sessions.py
@@ -17,7 +17,7 @@
 __all__ = ('SessionMark', 'check_session', 'make_signer')
 
 _SALT = 'turmericcrank-session'
-_FIELD_COUNT = 5
+_FIELD_COUNT = 6
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,6 +30,7 @@
         route: Route that it runs on.
         model_version: ``model@version`` that it keeps.
         ends_s: End of the session, seconds since the epoch.
+        last_ids: Upstreams that served it, the last one first.
     """
 
     session_id: str
@@ -37,6 +38,7 @@
     route: str
     model_version: str
     ends_s: float
+    last_ids: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -68,6 +70,7 @@
             mark.route,
             mark.model_version,
             mark.ends_s,
+            mark.last_ids,
         )
         return str(serializer.dumps(fields))
 
@@ -78,7 +81,8 @@
             return None
         if not isinstance(fields, list) or len(fields) != _FIELD_COUNT:
             return None
-        return SessionMark(*fields)
+        *others, last_ids = fields
+        return SessionMark(*others, tuple(last_ids))
 
     return Signer(write, read)
 
--- a/packages/dev/src/turmericcrank_dev/experiments/cost.py
+++ b/packages/dev/src/turmericcrank_dev/experiments/cost.py
@@ -18,6 +18,7 @@
     learn_final,
     learn_rating,
 )
+
 from turmericcrank_dev.experiments.results import (
     BenchLine,
     make_line,
@@ -45,6 +46,7 @@
         qualities: True quality by tier, 0 to 100.
         ratings: Rating that the rating service would give, by tier.
         costs: Cost by tier, in microcents.
+        second_rating: Another rating of the cheap tier's answer.
         is_rated: Whether its answer is in the sample that is rated.
     """
 
@@ -52,6 +54,7 @@
     qualities: tuple[float, float]
     ratings: tuple[float, float]
     costs: tuple[float, float]
+    second_rating: float
     is_rated: bool
 
 
@@ -88,6 +91,7 @@
                 (cheap, best),
                 (_rate(source, cheap), _rate(source, best)),
                 (_COSTS[0] * size, _COSTS[1] * size),
+                _rate(source, cheap),
                 source.random() < _SAMPLED_SHARE,
             )
         )
@@ -164,9 +168,7 @@
     )
 
 
-def run_policy(
-    requests: list[Request], seed: int, may_verify: bool
-) -> Outcome:
+def run_policy(requests: list[Request], seed: int, may_verify: bool) -> Outcome:
     """Run the real policy over one workload."""
     policy = CascadePolicy(
         CascadeSettings(target=_TARGET, n_tiers=2, may_verify=may_verify)
@@ -188,13 +190,15 @@
     rating = request.ratings[way.tier]
     learn_cost(policy, request.class_key, way.tier, cost)
     if way.threshold == 0:
-        if request.is_rated:
+        if request.is_rated or way.is_trial:
             learn_rating(policy, request.class_key, way.tier, rating)
-            learn_final(policy, rating)
+        if request.is_rated:
+            learn_final(policy, rating, 1 / _SAMPLED_SHARE)
         return cost, way.tier
     learn_rating(policy, request.class_key, way.tier, rating)
     if rating >= way.threshold:
-        learn_final(policy, rating)
+        if request.is_rated:
+            learn_final(policy, request.second_rating, 1 / _SAMPLED_SHARE)
         return cost, way.tier
     learn_cost(policy, request.class_key, 1, request.costs[1])
     learn_rating(policy, request.class_key, 1, request.ratings[1])
--- a/packages/dev/src/turmericcrank_dev/experiments/latency.py
+++ b/packages/dev/src/turmericcrank_dev/experiments/latency.py
@@ -1,8 +1,10 @@
 """Time to the first token under lagging load reports.
 
 Deciders choose among the same upstreams. Each upstream runs a number of
-requests at once and queues the rest. A prompt whose prefix is cached starts
-sooner. Reports are made at intervals and arrive late.
+requests at once and queues the rest. Requests belong to sessions; one whose
+session is cached at its upstream starts sooner. Reports of load are made at
+intervals and arrive late; deciders of a cell tell each other what they have
+in progress, also at intervals and late.
 """
 
 import heapq
@@ -12,17 +14,23 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+import xxhash
+from turmericcrank_core.cells import plan_n_cells
 from turmericcrank_core.selection import (
     LoadBook,
     PoolRing,
     SelectionSettings,
+    Wish,
     build_ring,
     make_selector,
     note_end,
     note_report,
     note_start,
+    note_told,
+    remember_upstream,
 )
 from turmericcrank_core.tables import Pool, PoolState, Upstream
+
 from turmericcrank_dev.experiments.results import (
     BenchLine,
     find_percentile,
@@ -43,9 +51,14 @@
 _PREFILL_HIT_S = 0.05
 _REPORT_EVERY_S = 0.5
 _REPORT_LAG_S = 0.3
-_N_PREFIXES = 400
-_CACHED_PREFIXES = 24
-_NONE = frozenset()
+_NEWS_EVERY_S = 0.1
+_NEWS_LAG_S = 0.01
+_NEWS_PAUSE_S = 0.005
+_SESSION_TURNS = 8
+_THINK_S = 5
+_STEADY_S = 200
+_CACHED_PREFIXES = 64
+_P95 = 95
 
 
 @dataclass(slots=True)
@@ -81,12 +94,15 @@
         started: Told of each start.
         ended: Told of each end.
         reported: Told of each report, late.
+        make_news: Called when a decider may tell its cell; gives what to do
+            when the news come.
     """
 
     choose: Callable[[Arrival, list[Machine]], int]
     started: Callable[[Arrival, int], None]
     ended: Callable[[Arrival, int], None]
     reported: Callable[[list[int]], None]
+    make_news: Callable[[int], Callable[[], None]] | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -150,22 +166,27 @@
 
 
 def _make_arrivals(source: random.Random, n_deciders: int) -> list[Arrival]:
-    rate = _LOAD * _N_UPSTREAMS * _SLOTS / (_MEAN_SERVICE_S + 0.15)
-    weights = [1 / (rank + 10) for rank in range(_N_PREFIXES)]
+    """Make sessions whose turns follow each other after a time to think.
+
+    A session's caller keeps its decider, as callers keep an address. The
+    requests begin when as many sessions end as begin.
+    """
+    rate = _LOAD * _N_UPSTREAMS * _SLOTS / (_MEAN_SERVICE_S + _PREFILL_HIT_S)
     now_s = 0.0
     arrivals = []
-    for _ in range(_N_REQUESTS):
-        now_s += source.expovariate(rate)
-        prefix = source.choices(range(_N_PREFIXES), weights)[0]
-        arrivals.append(
-            Arrival(
-                now_s,
-                f'prefix {prefix}',
-                source.expovariate(1 / _MEAN_SERVICE_S),
-                source.randrange(n_deciders),
-            )
-        )
-    return arrivals
+    while now_s < _STEADY_S + _N_REQUESTS / rate:
+        now_s += source.expovariate(rate / _SESSION_TURNS)
+        at_s = now_s
+        session = f'session {len(arrivals)}'
+        decider = source.randrange(n_deciders)
+        n_turns = 1 + int(source.expovariate(1 / (_SESSION_TURNS - 0.5)))
+        for _turn in range(n_turns):
+            service_s = source.expovariate(1 / _MEAN_SERVICE_S)
+            arrivals.append(Arrival(at_s, session, service_s, decider))
+            at_s += service_s + source.expovariate(1 / _THINK_S)
+    steady = [one for one in arrivals if one.at_s >= _STEADY_S]
+    steady.sort(key=lambda arrival: arrival.at_s)
+    return steady[:_N_REQUESTS]
 
 
 class _Play:
@@ -180,6 +201,8 @@
         self._n_hits = 0
         self._n_started = 0
         self._imbalance = 0.0
+        self._telling: set[int] = set()
+        self._told_s: dict[int, float] = {}
 
     def run(self, arrivals: list[Arrival]) -> Measured:
         """Play to the end and measure."""
@@ -192,7 +215,7 @@
             at_s, _, happen = heapq.heappop(self._events)
             happen(at_s)
         return Measured(
-            find_percentile(self._times[_WARM_UP:], 95),
+            find_percentile(self._times[_WARM_UP:], _P95),
             self._n_hits / self._n_started,
             self._imbalance / max(1, n_reports),
         )
@@ -204,6 +227,7 @@
         def arrive(now_s: float) -> None:
             index = self._policy.choose(arrival, self._machines)
             self._policy.started(arrival, index)
+            self._plan_news(arrival.decider, now_s)
             self._machines[index].queue.append((now_s, arrival))
             self._start_next(index, now_s)
 
@@ -222,6 +246,7 @@
         def end(at_s: float) -> None:
             machine.n_running -= 1
             self._policy.ended(arrival, index)
+            self._plan_news(arrival.decider, at_s)
             self._start_next(index, at_s)
 
         self._plan(end_s, end)
@@ -245,36 +270,65 @@
 
         self._plan(now_s + _REPORT_LAG_S, arrive)
 
+    def _plan_news(self, decider: int, now_s: float) -> None:
+        """Tell the cell soon, but not more often than the interval."""
+        if self._policy.make_news is None or decider in self._telling:
+            return
+        self._telling.add(decider)
+        earliest_s = self._told_s.get(decider, 0) + _NEWS_EVERY_S
+
+        def tell(at_s: float) -> None:
+            self._telling.discard(decider)
+            self._told_s[decider] = at_s
+            take = self._policy.make_news(decider)
+            self._plan(at_s + _NEWS_LAG_S, lambda _at_s: take())
+
+        self._plan(max(now_s + _NEWS_PAUSE_S, earliest_s), tell)
+
 
 def _ignore(*_told: object) -> None:
     """Do nothing with what was told."""
 
 
-def _make_ring() -> PoolRing:
+def _make_ring(cell: int = 0, n_cells: int = 1) -> PoolRing:
     upstreams = {
         str(index): Upstream(str(index), 'x:1', 'dc1')
         for index in range(_N_UPSTREAMS)
     }
+    pool = Pool(
+        'pool',
+        'm',
+        '1',
+        upstreams,
+        0,
+        0,
+        _SLOTS,
+        PoolState.active,
+        checks_fencing=True,
+        generation=1,
+    )
     return build_ring(
-        Pool(
-            'pool', 'm', '1', upstreams, 0, 0, _SLOTS, PoolState.active,
-            checks_fencing=True, generation=1,
-        )
+        pool, lambda upstream: int(upstream.upstream_id) % n_cells == cell
     )
 
 
 def _make_own(n_deciders: int, source: random.Random) -> Policy:
-    ring = _make_ring()
+    n_cells = plan_n_cells(n_deciders, _N_UPSTREAMS)
+    rings = [_make_ring(cell, n_cells) for cell in range(n_cells)]
     books = [LoadBook() for _ in range(n_deciders)]
     selectors = [
         make_selector(book, SelectionSettings(), source) for book in books
     ]
+    last_by_session: dict[str, tuple[str, ...]] = {}
 
     def choose(arrival: Arrival, _machines: list[Machine]) -> int:
         select = selectors[arrival.decider]
-        chosen = select(ring, arrival.prefix, _NONE, 1.0, 0)
+        ring = rings[arrival.decider % n_cells]
+        last_ids = last_by_session.get(arrival.prefix, ())
+        chosen = select(ring, Wish(last_ids), 0)
         if chosen is None:
-            chosen = select(ring, '', _NONE, float('inf'), 0)
+            chosen = select(ring, Wish(room_share=float('inf')), 0)
+        last_by_session[arrival.prefix] = remember_upstream(last_ids, chosen)
         return int(chosen)
 
     def started(arrival: Arrival, index: int) -> None:
@@ -288,14 +342,37 @@
             for index, load in enumerate(loads):
                 note_report(book, str(index), load)
 
-    return Policy(choose, started, ended, reported)
+    def make_news(decider: int) -> Callable[[], None]:
+        told = _list_own(books[decider])
+        cell = range(decider % n_cells, n_deciders, n_cells)
+
+        def take() -> None:
+            for peer in cell:
+                if peer != decider:
+                    note_told(books[peer], str(decider), told)
+
+        return take
+
+    return Policy(choose, started, ended, reported, make_news)
+
+
+def _list_own(book: LoadBook) -> dict[str, int]:
+    return {
+        upstream_id: load.n_own
+        for upstream_id, load in book.loads_by_id.items()
+        if load.n_own
+    }
 
 
 def _make_perfect(_n_deciders: int, source: random.Random) -> Policy:
     def choose(_arrival: Arrival, machines: list[Machine]) -> int:
         least = min(machine.load for machine in machines)
         return source.choice(
-            [i for i, machine in enumerate(machines) if machine.load == least]
+            [
+                index
+                for index, machine in enumerate(machines)
+                if machine.load == least
+            ]
         )
 
     return Policy(choose, _ignore, _ignore, _ignore)
@@ -321,19 +398,17 @@
         )
 
     def reported(loads: list[int]) -> None:
-        known[:] = loads
+        known.clear()
+        known.extend(loads)
 
     return Policy(choose, _ignore, _ignore, reported)
 
 
 def _make_sticky(_n_deciders: int, _source: random.Random) -> Policy:
-    ring = _make_ring()
-    select = make_selector(
-        LoadBook(), SelectionSettings(prefix_slack=1), random.Random(1)
-    )
+    """Keep a session's upstream by the hash of its name, whatever the load."""
 
     def choose(arrival: Arrival, _machines: list[Machine]) -> int:
-        return int(select(ring, arrival.prefix, _NONE, 1.0, 0) or 0)
+        return xxhash.xxh3_64_intdigest(arrival.prefix.encode()) % _N_UPSTREAMS
 
     return Policy(choose, _ignore, _ignore, _ignore)
 
--- a/packages/dev/src/turmericcrank_dev/experiments/results.py
+++ b/packages/dev/src/turmericcrank_dev/experiments/results.py
@@ -87,9 +87,7 @@
         target, met = at_least, figure >= at_least
     elif ratio_at_most is not None and ratio is not None:
         target, met = ratio_at_most, ratio <= ratio_at_most
-    return BenchLine(
-        name, figure, unit, baseline, ratio, target, met, spread
-    )
+    return BenchLine(name, figure, unit, baseline, ratio, target, met, spread)
 
 
 def format_line(line: BenchLine) -> str:
--- a/packages/node/src/turmericcrank_node/context.py
+++ b/packages/node/src/turmericcrank_node/context.py
@@ -117,6 +117,7 @@
     # Changed by tables_desk.
     revision: RevisionState = field(default_factory=RevisionState)
     rings_by_pool: dict[str, PoolRing] = field(default_factory=dict)
+    n_cells: int = 1
     patches_by_revision: dict[int, Patch] = field(default_factory=dict)
     # Changed by watcher.
     store_seen_s: float | None = None
@@ -130,6 +131,7 @@
     # Changed by dispatch.
     loads: LoadBook = field(default_factory=LoadBook)
     select: Selector | None = None
+    load_changed: trio.Event = field(default_factory=trio.Event)
     in_flight: dict[str, dict[str, str]] = field(default_factory=dict)
     instances_by_upstream: dict[str, str] = field(default_factory=dict)
     budgets_by_pool: dict[str, RetryBudget] = field(default_factory=dict)
--- a/packages/node/src/turmericcrank_node/dispatch.py
+++ b/packages/node/src/turmericcrank_node/dispatch.py
@@ -12,6 +12,7 @@
 from turmericcrank_core.selection import (
     PoolRing,
     UpstreamLoad,
+    Wish,
     note_end,
     note_report,
     note_start,
@@ -49,12 +50,14 @@
         fingerprint: Name of its content; empty when it can't crash one.
         prefix_key: Beginning of the prompt; empty for a service.
         room_share: Share of the capacity that its priority may fill.
+        last_ids: Upstreams that served its session, the last one first.
     """
 
     request_id: str
     fingerprint: str
     prefix_key: str
     room_share: float
+    last_ids: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -81,19 +84,17 @@
     """
     upstream_id = None
     for avoided in _iter_avoided(ctx, wanted, tried):
-        upstream_id = ctx.select(
-            ring,
-            wanted.prefix_key,
-            avoided,
-            wanted.room_share,
-            trio.current_time(),
+        wish = Wish(
+            wanted.last_ids, wanted.prefix_key, avoided, wanted.room_share
         )
+        upstream_id = ctx.select(ring, wish, trio.current_time())
         if upstream_id is not None:
             break
     if upstream_id is None:
         code = ResultCode.no_upstream if tried else ResultCode.overloaded
         return Error(Refusal(code, retry_after_s=_COME_BACK_S))
     note_start(ctx.loads, upstream_id)
+    ctx.load_changed.set()
     flights = ctx.in_flight.setdefault(upstream_id, {})
     flights[wanted.request_id] = wanted.fingerprint
     upstream = ring.pool.upstreams_by_id[upstream_id]
@@ -105,6 +106,7 @@
     upstream_id = dispatch.upstream.upstream_id
     if ctx.in_flight[upstream_id].pop(dispatch.request_id, None) is not None:
         note_end(ctx.loads, upstream_id)
+        ctx.load_changed.set()
 
 
 def list_fingerprints(ctx: NodeContext, upstream_id: str) -> list[str]:
--- a/packages/node/src/turmericcrank_node/draft_desk.py
+++ b/packages/node/src/turmericcrank_node/draft_desk.py
@@ -31,7 +31,7 @@
 
 from turmericcrank_node.context import NodeContext
 from turmericcrank_node.gate import Caller, check_standing
-from turmericcrank_node.model_desk import answer_whole
+from turmericcrank_node.model_desk import WholeAnswer, answer_whole
 from turmericcrank_node.model_plan import plan_call
 from turmericcrank_node.store import Operation, StoredRow
 
@@ -238,7 +238,7 @@
 
 async def _run_draft(
     ctx: NodeContext, run: DraftRun
-) -> Result[tuple[dict[str, Any], Any], Refusal]:
+) -> Result[WholeAnswer, Refusal]:
     down = Refusal(ResultCode.store_down)
     kept = await ctx.store.read([(_DRAFTS, run.draft_id)])
     request_body = await ctx.store.read_object(_name_request(run.draft_id))
@@ -253,7 +253,7 @@
 
 async def _answer_draft(
     ctx: NodeContext, run: DraftRun, team: str, request: ModelRequest
-) -> Result[tuple[dict[str, Any], Any], Refusal]:
+) -> Result[WholeAnswer, Refusal]:
     caller = Caller(
         team, uuid.uuid4().hex, f'draft-{run.draft_id}', run.draft_id
     )
@@ -263,15 +263,16 @@
     return await answer_whole(ctx, planned.ok)
 
 
-async def _finish(run: DraftRun, outcome: tuple[dict[str, Any], Any]) -> None:
-    answer, bill = outcome
+async def _finish(run: DraftRun, whole: WholeAnswer) -> None:
     ctx = run.ctx
     name = f'drafts/{run.draft_id}/answer-{ctx.incarnation}-{run.version}'
-    written = await ctx.store.write_object(name, json.dumps(answer).encode())
+    written = await ctx.store.write_object(
+        name, json.dumps(whole.body).encode()
+    )
     if written.is_error():
         return
     bill_row = Operation(
-        'bills', f'draft-{run.draft_id}/0000', 0, [write_bill(bill)]
+        'bills', f'draft-{run.draft_id}/0000', 0, [write_bill(whole.bill)]
     )
     await _end_lease(run, {'state': 'done', 'answer': name}, [bill_row])
 
--- a/packages/node/src/turmericcrank_node/evidence_desk.py
+++ b/packages/node/src/turmericcrank_node/evidence_desk.py
@@ -144,7 +144,9 @@
     """
     ranked = sorted(
         peer_ids,
-        key=lambda peer_id: xxhash.xxh3_64_intdigest(f'{version}/{peer_id}'),
+        key=lambda peer_id: xxhash.xxh3_64_intdigest(
+            f'{version}/{peer_id}'.encode()
+        ),
     )
     return ranked[:_N_KEEPERS]
 
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/load_news.py
@@ -0,0 +1,35 @@
+"""Tells the nodes of the cell what this node has in progress where."""
+
+import trio
+from turmericcrank_core.cells import plan_cell
+
+from turmericcrank_node import peer_messages as messages
+from turmericcrank_node.context import NodeContext
+
+__all__ = ('serve_load_news',)
+
+_PAUSE_S = 0.005
+_INTERVAL_S = 0.1
+_ASK_S = 0.3
+
+
+async def serve_load_news(ctx: NodeContext) -> None:
+    """Tell each change soon, but not more often than the interval."""
+    while True:
+        await ctx.load_changed.wait()
+        await trio.sleep(_PAUSE_S)
+        ctx.load_changed = trio.Event()
+        news = messages.LoadNews(ctx.settings.node_id, _list_own(ctx))
+        cell = plan_cell(ctx.window.listed, ctx.settings.node_id, ctx.n_cells)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.sleep, _INTERVAL_S - _PAUSE_S)
+            for peer_id in sorted(cell):
+                nursery.start_soon(ctx.ask_peer, peer_id, news, _ASK_S)
+
+
+def _list_own(ctx: NodeContext) -> dict[str, int]:
+    return {
+        upstream_id: load.n_own
+        for upstream_id, load in ctx.loads.loads_by_id.items()
+        if load.n_own
+    }
--- a/packages/node/src/turmericcrank_node/model_calls.py
+++ b/packages/node/src/turmericcrank_node/model_calls.py
@@ -15,6 +15,7 @@
 from turmericcrank_core.requests import ModelRequest
 from turmericcrank_core.retries import earn_retry, plan_delay_s, spend_retry
 from turmericcrank_core.selection import PoolRing
+from turmericcrank_core.sessions import SessionMark
 from turmericcrank_core.suspects import is_convicted
 from turmericcrank_core.tables import Route
 
@@ -37,7 +38,16 @@
     send_upstream,
 )
 
-__all__ = ('ModelCall', 'Opened', 'close_opened', 'open_answer', 'read_whole')
+__all__ = (
+    'ModelCall',
+    'Opened',
+    'ReadAnswer',
+    'close_opened',
+    'iter_blocks',
+    'note_broken',
+    'open_answer',
+    'read_whole',
+)
 
 _PATH = '/v1/chat/completions'
 _MAX_ATTEMPTS = 4
@@ -62,8 +72,7 @@
         fingerprint: Name of its content.
         wanted: What it wants of an upstream.
         deadline_s: Monotonic time by which the answer must be whole.
-        session_mark: Mark for the answer's header; empty without session.
-        class_key: Class for the cascade policy.
+        mark: What its session keeps; None without a session.
     """
 
     request_id: str
@@ -74,8 +83,7 @@
     fingerprint: str
     wanted: Wanted
     deadline_s: float
-    session_mark: str = ''
-    class_key: str = ''
+    mark: SessionMark | None = None
 
 
 @dataclass(slots=True)
@@ -95,6 +103,14 @@
     tried: frozenset[str]
 
 
+@dataclass(slots=True, frozen=True)
+class ReadAnswer:
+    """A whole body and where it came from."""
+
+    opened: Opened
+    body: dict[str, Any]
+
+
 async def open_answer(
     ctx: NodeContext,
     call: ModelCall,
@@ -135,7 +151,7 @@
 
 async def read_whole(
     ctx: NodeContext, call: ModelCall, ring: PoolRing
-) -> Result[tuple[Opened, dict[str, Any]], Refusal]:
+) -> Result[ReadAnswer, Refusal]:
     """Get a whole answer; a broken one is asked for again elsewhere."""
     tried: frozenset[str] = frozenset()
     while True:
@@ -145,7 +161,7 @@
         tried = opened.ok.tried
         body = await _read_body(ctx, call, opened.ok)
         if body.is_ok():
-            return Ok((opened.ok, body.ok))
+            return Ok(ReadAnswer(opened.ok, body.ok))
         refusal = _convict(ctx, call, body.error)
         if _is_final(refusal):
             return Error(refusal)
--- a/packages/node/src/turmericcrank_node/model_desk.py
+++ b/packages/node/src/turmericcrank_node/model_desk.py
@@ -1,6 +1,7 @@
 """Answers a model request, whole or streamed, and bills it once."""
 
 import json
+from dataclasses import dataclass, replace
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -8,6 +9,7 @@
 from turmericcrank_core.codes import ResultCode
 from turmericcrank_core.errors import Refusal
 from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.selection import remember_upstream
 from turmericcrank_core.tables import Pool
 
 from turmericcrank_node.bill_desk import commit_bill
@@ -27,12 +29,32 @@
 )
 from turmericcrank_node.replies import Reply
 
-__all__ = ('answer_model', 'answer_whole', 'make_model_bill')
+__all__ = (
+    'WholeAnswer',
+    'answer_model',
+    'answer_whole',
+    'make_model_bill',
+)
 
 _MAX_DETAIL = 200
 _OK = 200
 
 
+@dataclass(slots=True, frozen=True)
+class WholeAnswer:
+    """One whole answer.
+
+    Attributes:
+        body: The engine's answer.
+        bill: What all tiers that ran cost.
+        rated: What may be rated.
+    """
+
+    body: dict[str, Any]
+    bill: Bill
+    rated: RatedAnswer
+
+
 async def answer_model(
     ctx: NodeContext, planned: PlannedCall, place: Place
 ) -> Result[Reply, Refusal]:
@@ -47,15 +69,23 @@
         answered = await _answer_stream(ctx, planned, place)
     else:
         answered = await _answer_json(ctx, planned)
-    if answered.is_ok() and planned.call.session_mark:
-        mark = planned.call.session_mark
-        answered.ok.headers_by_name['X-Session-Mark'] = mark
     return answered
 
 
+def _mark_session(
+    ctx: NodeContext, call: ModelCall, reply: Reply, last_id: str
+) -> Reply:
+    """Put the session's mark on a reply, with the upstream that served it."""
+    if call.mark is not None:
+        last_ids = remember_upstream(call.mark.last_ids, last_id)
+        mark = replace(call.mark, last_ids=last_ids)
+        reply.headers_by_name['X-Session-Mark'] = ctx.signer.write(mark)
+    return reply
+
+
 async def answer_whole(
     ctx: NodeContext, planned: PlannedCall
-) -> Result[tuple[dict[str, Any], Bill], Refusal]:
+) -> Result[WholeAnswer, Refusal]:
     """Get a whole answer and its bill, through the cascade if need be.
 
     A cheap answer under the threshold is given up for one of the best
@@ -68,12 +98,12 @@
         return Error(first.error)
     run = first.ok
     if planned.chosen.threshold == 0:
-        rate_later(ctx, run.answer, call.route)
-        return Ok((run.body, run.bill))
-    rating = await rate_now(ctx, run.answer)
+        rate_later(ctx, run.rated, call.route)
+        return Ok(run)
+    rating = await rate_now(ctx, run.rated)
     if rating is not None and rating >= planned.chosen.threshold:
-        learn_given(planned.chosen, rating)
-        return Ok((run.body, run.bill))
+        rate_later(ctx, run.rated, call.route)
+        return Ok(run)
     return await _escalate(ctx, call, run, rating)
 
 
@@ -100,35 +130,22 @@
     )
 
 
-class _Run:
-    """One tier's whole answer, its bill, and what may be rated."""
-
-    __slots__ = ('answer', 'bill', 'body')
-
-    def __init__(
-        self, body: dict[str, Any], bill: Bill, answer: RatedAnswer
-    ) -> None:
-        self.body = body
-        self.bill = bill
-        self.answer = answer
-
-
 async def _answer_json(
     ctx: NodeContext, planned: PlannedCall
 ) -> Result[Reply, Refusal]:
     answered = await answer_whole(ctx, planned)
     if answered.is_error():
         return Error(answered.error)
-    body, bill = answered.ok
-    await commit_bill(ctx, bill)
+    run = answered.ok
+    await commit_bill(ctx, run.bill)
     ctx.log.write(
         EventCode.request_answered,
         request=planned.call.request_id,
-        version=bill.model_version,
+        version=run.bill.model_version,
     )
-    reply = Reply(ResultCode.answered, _OK, json.dumps(body).encode())
-    reply.headers_by_name['X-Model-Version'] = bill.model_version
-    return Ok(reply)
+    reply = Reply(ResultCode.answered, _OK, json.dumps(run.body).encode())
+    reply.headers_by_name['X-Model-Version'] = run.bill.model_version
+    return Ok(_mark_session(ctx, planned.call, reply, run.rated.upstream_id))
 
 
 async def _answer_stream(
@@ -146,17 +163,18 @@
     )
     version = planned.chosen.pool.model_version
     reply.headers_by_name['X-Model-Version'] = version
-    return Ok(reply)
+    last_id = opened.ok.dispatch.upstream.upstream_id
+    return Ok(_mark_session(ctx, planned.call, reply, last_id))
 
 
 async def _run_tier(
     ctx: NodeContext, call: ModelCall, chosen: ChosenTier, extra: float = 0
-) -> Result[_Run, Refusal]:
+) -> Result[WholeAnswer, Refusal]:
     ring = ctx.rings_by_pool[chosen.pool.name]
     read = await read_whole(ctx, call, ring)
     if read.is_error():
         return Error(read.error)
-    opened, body = read.ok
+    opened, body = read.ok.opened, read.ok.body
     if 'choices' not in body:
         return Error(
             Refusal(ResultCode.upstream_failed, json.dumps(body)[:_MAX_DETAIL])
@@ -167,13 +185,13 @@
     answer = RatedAnswer(
         chosen, opened.dispatch.upstream.upstream_id, call.request.prompt, text
     )
-    return Ok(_Run(body, bill, answer))
+    return Ok(WholeAnswer(body, bill, answer))
 
 
 async def _escalate(
-    ctx: NodeContext, call: ModelCall, run: _Run, refused: float | None
-) -> Result[tuple[dict[str, Any], Bill], Refusal]:
-    chosen = run.answer.chosen
+    ctx: NodeContext, call: ModelCall, run: WholeAnswer, refused: float | None
+) -> Result[WholeAnswer, Refusal]:
+    chosen = run.rated.chosen
     best_name = call.route.pools[-1]
     best = ChosenTier(
         ctx.revision.tables.pools_by_name[best_name],
@@ -186,7 +204,7 @@
     if second.is_error():
         return Error(second.error)
     if refused is not None:
-        rating = await rate_now(ctx, second.ok.answer)
-        learn_refused(run.answer, refused, rating)
+        rating = await rate_now(ctx, second.ok.rated)
+        learn_refused(run.rated, refused, rating)
         learn_given(best, rating)
-    return Ok((second.ok.body, second.ok.bill))
+    return Ok(second.ok)
--- a/packages/node/src/turmericcrank_node/model_plan.py
+++ b/packages/node/src/turmericcrank_node/model_plan.py
@@ -75,11 +75,10 @@
         chosen = choose_tier(ctx, match.route, allowed.ok, request, caller.team)
     else:
         chosen = ChosenTier(allowed.ok[0])
-    call = _make_call(ctx, caller, request, match, fingerprint)
-    call.session_mark = mark_text
+    mark = ctx.signer.read(mark_text) if in_session else None
     if mark_text == _NEW_SESSION:
-        call.session_mark = _start_session(ctx, caller, match, chosen)
-    return Ok(PlannedCall(call, chosen))
+        mark = _start_session(caller, match, chosen)
+    return Ok(PlannedCall(_make_call(caller, request, match, mark), chosen))
 
 
 def _check_bound_version(
@@ -102,33 +101,33 @@
 
 
 def _start_session(
-    ctx: NodeContext, caller: Caller, match: RouteMatch, chosen: ChosenTier
-) -> str:
+    caller: Caller, match: RouteMatch, chosen: ChosenTier
+) -> SessionMark | None:
     if not match.route.session_max_s:
-        return ''
-    mark = SessionMark(
+        return None
+    return SessionMark(
         secrets.token_hex(_MARK_BYTES),
         caller.team,
         match.route.name,
         chosen.pool.model_version,
         time.time() + match.route.session_max_s,
     )
-    return ctx.signer.write(mark)
 
 
 def _make_call(
-    ctx: NodeContext,
     caller: Caller,
     request: ModelRequest,
     match: RouteMatch,
-    fingerprint: str,
+    mark: SessionMark | None,
 ) -> ModelCall:
     route = match.route
+    fingerprint = fingerprint_request(caller.team, request)
     wanted = Wanted(
         caller.request_id,
         fingerprint,
         request.prefix_key,
         plan_room_share(route.priority),
+        mark.last_ids if mark else (),
     )
     return ModelCall(
         caller.request_id,
@@ -139,4 +138,5 @@
         fingerprint,
         wanted,
         trio.current_time() + route.deadline_s,
+        mark,
     )
--- a/packages/node/src/turmericcrank_node/node.py
+++ b/packages/node/src/turmericcrank_node/node.py
@@ -29,6 +29,7 @@
 from turmericcrank_node.draft_desk import serve_drafts
 from turmericcrank_node.event_log import EventLog
 from turmericcrank_node.evidence_desk import serve_evidence
+from turmericcrank_node.load_news import serve_load_news
 from turmericcrank_node.metrics import make_metrics
 from turmericcrank_node.peer_server import serve_peers
 from turmericcrank_node.peers import PeerLinks, make_asker
@@ -57,6 +58,7 @@
     serve_evidence,
     serve_drafts,
     serve_conductor,
+    serve_load_news,
 )
 
 
--- a/packages/node/src/turmericcrank_node/peer_messages.py
+++ b/packages/node/src/turmericcrank_node/peer_messages.py
@@ -16,6 +16,7 @@
     'CrashSeen',
     'EvidenceSeen',
     'Hello',
+    'LoadNews',
     'Patches',
     'PatchesWanted',
     'Ping',
@@ -168,6 +169,14 @@
     node_id: str
 
 
+@dataclass(slots=True, frozen=True)
+class LoadNews:
+    """Tells the requests in progress of a node, by upstream."""
+
+    node_id: str
+    n_by_upstream: dict[str, int]
+
+
 @dataclass(slots=True, frozen=True)
 class Ack:
     """Confirms a message that needs no other answer."""
@@ -191,6 +200,7 @@
     VmRows,
     VmsWanted,
     StopSeen,
+    LoadNews,
     Ack,
 )
 _NUMBERS_BY_TYPE = {kind: number for number, kind in enumerate(_TYPES)}
--- a/packages/node/src/turmericcrank_node/peer_server.py
+++ b/packages/node/src/turmericcrank_node/peer_server.py
@@ -7,6 +7,7 @@
 from turmericcrank_core.billing import check_bill
 from turmericcrank_core.hybrid_clock import check_stamp
 from turmericcrank_core.revisions import hear_revision
+from turmericcrank_core.selection import note_told
 from turmericcrank_core.suspects import CrashRecord
 
 from turmericcrank_node import peer_messages as messages
@@ -138,6 +139,11 @@
     return messages.Ack(ctx.settings.node_id)
 
 
+def _answer_load(ctx: NodeContext, news: messages.LoadNews) -> Any:
+    note_told(ctx.loads, news.node_id, news.n_by_upstream)
+    return messages.Ack(ctx.settings.node_id)
+
+
 _ANSWERS_BY_TYPE = {
     messages.Ping: _answer_ping,
     messages.RevisionNews: _answer_news,
@@ -146,4 +152,5 @@
     messages.EvidenceSeen: _answer_evidence,
     messages.VmsWanted: _answer_vms_wanted,
     messages.StopSeen: _answer_stop,
+    messages.LoadNews: _answer_load,
 }
--- a/packages/node/src/turmericcrank_node/rating_desk.py
+++ b/packages/node/src/turmericcrank_node/rating_desk.py
@@ -51,6 +51,7 @@
         threshold: Rating under which the best tier answers; 0 for never.
         policy: Policy that learns; None without a cascade.
         class_key: Class of the request in the policy.
+        is_trial: Whether the tier is tried in order to learn.
     """
 
     pool: Pool
@@ -58,6 +59,7 @@
     threshold: int = 0
     policy: CascadePolicy | None = None
     class_key: str = ''
+    is_trial: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,7 +109,9 @@
     class_key = find_class_key(policy, request, team)
     way = choose_way(policy, class_key, ctx.random_source)
     pool = _follow_rollout(ctx, route, tiers[way.tier], by_name)
-    return ChosenTier(pool, way.tier, way.threshold, policy, class_key)
+    return ChosenTier(
+        pool, way.tier, way.threshold, policy, class_key, way.is_trial
+    )
 
 
 def find_class_key(
@@ -159,10 +163,16 @@
         learn_escalation(policy, answer.chosen.class_key, refused, rating)
 
 
-def learn_given(chosen: ChosenTier, rating: float | None) -> None:
-    """Learn the rating of an answer as the caller gets it."""
+def learn_given(
+    chosen: ChosenTier, rating: float | None, weight: float = 1
+) -> None:
+    """Learn the rating of an answer as the caller gets it.
+
+    An answer that was kept for its rating must be rated again for this,
+    since the first rating is too good on average.
+    """
     if chosen.policy is not None and rating is not None:
-        learn_final(chosen.policy, rating)
+        learn_final(chosen.policy, rating, weight)
 
 
 def rate_later(ctx: NodeContext, answer: RatedAnswer, route: Route) -> None:
@@ -171,7 +181,9 @@
     if route.rollout is not None:
         share = _ROLLOUT_SHARE
     if ctx.random_source.random() < share:
-        ctx.start_soon(_rate_sample, answer)
+        ctx.start_soon(_rate_sample, answer, 1 / share)
+    elif answer.chosen.is_trial:
+        ctx.start_soon(_rate_sample, answer, 0)
 
 
 def find_progress(ctx: NodeContext, route: Route) -> RolloutProgress | None:
@@ -181,8 +193,10 @@
     return ctx.progress_by_key.get(make_rollout_key(route.name, route.rollout))
 
 
-async def _rate_sample(ctx: NodeContext, answer: RatedAnswer) -> None:
-    learn_given(answer.chosen, await rate_now(ctx, answer))
+async def _rate_sample(
+    ctx: NodeContext, answer: RatedAnswer, weight: float
+) -> None:
+    learn_given(answer.chosen, await rate_now(ctx, answer), weight)
 
 
 def _follow_rollout(
--- a/packages/node/src/turmericcrank_node/sampling.py
+++ b/packages/node/src/turmericcrank_node/sampling.py
@@ -7,6 +7,7 @@
 from turmericcrank_core.freshness import PeerSample, note_sample
 from turmericcrank_core.hybrid_clock import check_stamp
 from turmericcrank_core.revisions import Snapshot, hear_revision
+from turmericcrank_core.selection import forget_peer
 
 from turmericcrank_node import peer_messages as messages
 from turmericcrank_node.context import NodeContext, PeerView
@@ -59,6 +60,8 @@
         if known is None or known.heard:
             ctx.log.write(EventCode.member_silent, member=peer_id)
         note_sample(ctx.window, peer_id, PeerSample(now_s, heard=False))
+        if peer_id in ctx.loads.told_by_peer:
+            forget_peer(ctx.loads, peer_id)
         return
     pong = answered.ok
     ctx.log.stamp(check_stamp(pong.stamp))
--- a/packages/node/src/turmericcrank_node/tables_desk.py
+++ b/packages/node/src/turmericcrank_node/tables_desk.py
@@ -6,6 +6,7 @@
 
 import trio
 from expression import Error, Ok, Result
+from turmericcrank_core.cells import make_home_test, plan_n_cells
 from turmericcrank_core.codes import ResultCode
 from turmericcrank_core.errors import Refusal
 from turmericcrank_core.event_codes import EventCode
@@ -28,6 +29,7 @@
     'accept_edit',
     'adopt_patches',
     'adopt_whole',
+    'build_rings',
     'check_patch',
     'fetch_patches',
     'read_history',
@@ -57,7 +59,7 @@
                 source=source,
             )
     if adopted:
-        _build_rings(ctx)
+        build_rings(ctx)
     return adopted
 
 
@@ -68,7 +70,7 @@
     ctx.log.write(
         EventCode.revision_adopted, revision=snapshot.revision, source=source
     )
-    _build_rings(ctx)
+    build_rings(ctx)
     return True
 
 
@@ -188,20 +190,23 @@
     }
 
 
-def _build_rings(ctx: NodeContext) -> None:
+def build_rings(ctx: NodeContext) -> None:
+    """Prepare the pools for choices, after new tables or another cell."""
     pools = ctx.revision.tables.pools_by_name
+    n_upstreams = sum(len(pool.upstreams_by_id) for pool in pools.values())
+    n_cells = plan_n_cells(len(ctx.window.listed) + 1, n_upstreams)
+    is_same_cell = n_cells == ctx.n_cells
+    ctx.n_cells = n_cells
+    is_home = make_home_test(ctx.settings.node_id, n_cells)
+    known = ctx.rings_by_pool
     ctx.rings_by_pool = {
-        name: _reuse_ring(ctx, pool) for name, pool in pools.items()
+        name: known[name]
+        if is_same_cell and name in known and known[name].pool == pool
+        else build_ring(pool, is_home)
+        for name, pool in pools.items()
     }
 
 
-def _reuse_ring(ctx: NodeContext, pool: Any) -> Any:
-    known = ctx.rings_by_pool.get(pool.name)
-    if known is not None and known.pool == pool:
-        return known
-    return build_ring(pool)
-
-
 async def _fetch_snapshot(ctx: NodeContext) -> None:
     found = await ctx.store.read_object(_SNAPSHOT_OBJECT)
     if found.is_ok() and found.ok:
--- a/packages/node/src/turmericcrank_node/watcher.py
+++ b/packages/node/src/turmericcrank_node/watcher.py
@@ -9,7 +9,7 @@
 
 from turmericcrank_node.context import NodeContext
 from turmericcrank_node.evidence_desk import note_stop
-from turmericcrank_node.tables_desk import fetch_patches
+from turmericcrank_node.tables_desk import build_rings, fetch_patches
 from turmericcrank_node.vm_list import note_vms
 
 __all__ = ('serve_vm_watch', 'serve_watch')
@@ -31,6 +31,8 @@
         listed = await ctx.store.list_vms(ctx.vm_sequence)
         if listed.is_ok():
             note_vms(ctx, listed.ok['sequence'], listed.ok['vms'])
+            if listed.ok['vms']:
+                build_rings(ctx)
         await trio.sleep(ctx.settings.poll_s)
 
 
--- a/tests/core/test_selection.py
+++ b/tests/core/test_selection.py
@@ -4,28 +4,36 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from turmericcrank_core.cells import (
+    make_home_test,
+    plan_cell,
+    plan_n_cells,
+)
 from turmericcrank_core.selection import (
     LoadBook,
     SelectionSettings,
     UpstreamLoad,
+    Wish,
     build_ring,
     estimate_load,
+    forget_peer,
     make_selector,
     note_end,
     note_report,
     note_start,
+    note_told,
+    remember_upstream,
 )
 from turmericcrank_core.tables import check_tables
 
 from tests.builders import make_raw_tables, make_tables
 
-_NONE = frozenset()
 _NAMES = [f'u{number}' for number in range(5)]
 _loads = st.builds(
     UpstreamLoad,
-    n_own=st.integers(0, 12),
-    reported=st.integers(0, 12),
-    n_since=st.integers(-3, 3),
+    n_own=st.integers(0, 9),
+    n_told=st.integers(0, 9),
+    n_foreign=st.floats(-3, 3),
     ejected_until_s=st.sampled_from([0.0, 200.0]),
     leaving=st.booleans(),
     wrong_version=st.booleans(),
@@ -51,13 +59,14 @@
 ):
     book = LoadBook(loads)
     ring = _make_ring(5)
-    chosen = _make(book)(ring, prefix, frozenset(tried), 1.0, 100.0)
+    wish = Wish((), prefix, frozenset(tried))
+    chosen = _make(book)(ring, wish, 100.0)
     usable = {
         name
         for name in ring.ids
         if name not in tried and _is_usable(loads.get(name), ring.pool.capacity)
     }
-    assert chosen in (usable or {None})
+    assert chosen in usable or (chosen is None and not usable)
 
 
 def _is_usable(load, capacity):
@@ -70,27 +79,83 @@
 def test_a_lower_priority_leaves_room_for_a_higher_one():
     book = LoadBook({'v0': UpstreamLoad(n_own=4)})
     ring = build_ring(make_tables().pools_by_name['best'])
-    assert _make(book)(ring, '', _NONE, 0.5, 0) is None
-    assert _make(book)(ring, '', _NONE, 1.0, 0) == 'v0'
+    assert _make(book)(ring, Wish(room_share=0.5), 0) is None
+    assert _make(book)(ring, Wish(), 0) == 'v0'
 
 
 def test_the_same_prefix_meets_the_same_upstream_until_it_is_full():
     book = LoadBook()
     ring = _make_ring(50)
     select = _make(book)
-    chosen = {select(ring, 'prefix', _NONE, 1.0, 0) for _ in range(20)}
-    assert len(chosen) == 1
-    cached = chosen.pop()
-    book.loads_by_id[cached] = UpstreamLoad(n_own=8)
-    assert select(ring, 'prefix', _NONE, 1.0, 0) != cached
+    wish = Wish(prefix_key='prefix')
+    first = select(ring, wish, 0)
+    assert select(ring, wish, 0) == first
+    book.loads_by_id[first] = UpstreamLoad(n_own=9)
+    assert select(ring, wish, 0) != first
+
 
+def test_a_session_goes_back_to_an_upstream_that_served_it():
+    book = LoadBook({'u7': UpstreamLoad(n_own=9)})
+    wish = Wish(last_ids=('u7', 'u3', 'gone'))
+    assert _make(book)(_make_ring(50), wish, 0) == 'u3'
+    assert remember_upstream(('u7', 'u3', 'u1'), 'u3') == ('u3', 'u7', 'u1')
+    assert remember_upstream(('u7', 'u3', 'u1'), 'u9') == ('u9', 'u7', 'u3')
 
-def test_a_report_replaces_what_was_known_and_own_starts_are_added():
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(['n1', 'n2']),
+            st.dictionaries(st.sampled_from(_NAMES), st.integers(1, 9)),
+        )
+    )
+)
+def test_the_news_of_a_peer_replace_its_last(news):
+    book = LoadBook()
+    last = {}
+    for peer_id, counts in news:
+        note_told(book, peer_id, counts)
+        last[peer_id] = counts
+    for name in _NAMES:
+        expected = sum(told.get(name, 0) for told in last.values())
+        load = book.loads_by_id.get(name, UpstreamLoad())
+        assert load.n_told == expected
+    for peer_id in last:
+        forget_peer(book, peer_id)
+    assert not any(load.n_told for load in book.loads_by_id.values())
+
+
+def test_reports_tell_the_load_that_the_cell_does_not_know():
     book = LoadBook()
     note_start(book, 'u0')
-    note_report(book, 'u0', 5)
-    note_start(book, 'u0')
-    assert estimate_load(book.loads_by_id['u0']) == 6
+    note_told(book, 'n2', {'u0': 2})
+    for _ in range(60):
+        note_report(book, 'u0', 7)
+    assert round(estimate_load(book.loads_by_id['u0'])) == 7
     note_end(book, 'u0')
-    note_end(book, 'u0')
-    assert estimate_load(book.loads_by_id['u0']) == 4
+    assert round(estimate_load(book.loads_by_id['u0'])) == 6
+
+
+@given(st.integers(1, 600), st.integers(1, 4000))
+def test_cells_are_whole_and_have_upstreams_enough(n_nodes, n_upstreams):
+    n_cells = plan_n_cells(n_nodes, n_upstreams)
+    assert n_cells >= 1
+    assert n_cells == 1 or n_upstreams / n_cells >= 16
+    names = [f'n{number}' for number in range(min(n_nodes, 40))]
+    for name in names:
+        for other in plan_cell(names, name, n_cells):
+            assert name in plan_cell(names, other, n_cells)
+
+
+def test_a_cell_prefers_its_own_upstreams_and_overflows_to_others():
+    pool = check_tables(make_raw_tables(64)).ok.pools_by_name['cheap']
+    ring = build_ring(pool, make_home_test('n1', 4))
+    book = LoadBook()
+    select = _make(book)
+    assert 0 < len(ring.home_ids) < 64
+    assert select(ring, Wish(), 0) in ring.home_ids
+    for name in ring.home_ids:
+        book.loads_by_id[name] = UpstreamLoad(n_own=8)
+    chosen = select(ring, Wish(), 0)
+    assert chosen is not None
+    assert chosen not in ring.home_ids
--- a/tests/core/test_versions.py
+++ b/tests/core/test_versions.py
@@ -214,6 +214,6 @@
 
 
 def test_nothing_known_means_the_best_tier():
-    settings = CascadeSettings(target=80, n_tiers=3, explore_share=0)
+    settings = CascadeSettings(target=80, n_tiers=3, max_trial_share=0)
     policy = CascadePolicy(settings)
     assert choose_way(policy, 'c', random.Random(1)).tier == 2
