Serve tills first under overload, and no team before another

Cause: half of a pool was reserved for high priorities, so drafts alone left half of the capacity idle, and a team with many requests took every slot that came free. Change: a request has a rank, first by priority, then by whether its team has more than an equal part. Where a rank found no room, lower ranks get none for 0.1 s, so what ends makes room for the higher one. Conclusion: a short memory of who was refused beats a reserve.

--- a/packages/core/src/turmericcrank_core/requests.py
+++ b/packages/core/src/turmericcrank_core/requests.py
@@ -24,14 +24,11 @@
     'fingerprint_request',
     'find_route',
     'list_allowed_pools',
-    'plan_room_share',
 )
 
 _MAX_MESSAGES = 10000
 _MAX_DETAIL = 300
 _PREFIX_CHARS = 256
-_LOWEST_PRIORITY = 9
-_RESERVED_SHARE = 0.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -158,15 +155,6 @@
     return Error(Refusal(ResultCode.no_upstream, retry_after_s=1))
 
 
-def plan_room_share(priority: int) -> float:
-    """Give the share of a pool's capacity that a priority may fill.
-
-    Priority 0 may fill all of it and 9 one half, so that tills find room
-    while drafts wait.
-    """
-    return 1 - _RESERVED_SHARE * priority / _LOWEST_PRIORITY
-
-
 def fingerprint_request(team: str, request: ModelRequest) -> str:
     """Name a request by what an upstream sees, not by its id."""
     digest = xxhash.xxh3_128(team.encode())
--- a/packages/core/src/turmericcrank_core/selection.py
+++ b/packages/core/src/turmericcrank_core/selection.py
@@ -43,6 +43,7 @@
 _POINTS_PER_UPSTREAM = 16
 _REPORT_GAIN = 0.2
 _MAX_REMEMBERED = 3
+_SPREAD_STEPS = 100
 
 
 @dataclass(slots=True, frozen=True)
@@ -287,11 +288,18 @@
             return True
         if load.leaving or load.wrong_version:
             return False
-        return load.ejected_until_s <= now_s and estimate_load(load) < limit
+        if load.ejected_until_s > now_s:
+            return False
+        return estimate_load(load) + 1 <= limit + _spread(upstream_id)
 
     return is_usable
 
 
+def _spread(upstream_id: str) -> float:
+    """Round the limit up at some upstreams and down at others."""
+    return (_hash(upstream_id) % _SPREAD_STEPS) / _SPREAD_STEPS
+
+
 def _weigh(book: LoadBook, upstream_id: str) -> float:
     load = book.loads_by_id.get(upstream_id)
     return 0 if load is None else estimate_load(load)
--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/experiments/exposure.py
@@ -0,0 +1,128 @@
+"""Requests that a version turned bad serves before it is stopped.
+
+Several nodes serve one new version beside an old one; each tells its
+counts at intervals, and the verdict is made from the pooled counts. All
+requests of the new version after the turn count, those between the verdict
+and its arrival at the other nodes too.
+"""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from turmericcrank_core.exposure import (
+    EvidencePool,
+    ExposureSettings,
+    UpstreamCounts,
+    absorb_counts,
+    find_fault,
+)
+
+from turmericcrank_dev.experiments.results import BenchLine, make_line
+
+__all__ = ('run_exposure',)
+
+KEPT_ASIDE_SEEDS = range(300, 400)
+_N_HEALTHY = 400
+_RATE_PER_S = 40
+_TELL_S = 0.25
+_SPREAD_S = 0.1
+_LIMIT = 4000
+_N_UPSTREAMS = 4
+_RATED_SHARE = 0.5
+_RATING_DEVIATION = 15
+_GOOD_RATING = 80
+_SETTINGS = ExposureSettings()
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """What is wrong with a version.
+
+    Attributes:
+        error_share: Share of errors.
+        rating: Mean rating.
+        bad_upstreams: Upstreams that have the fault.
+    """
+
+    error_share: float = 0.005
+    rating: float = _GOOD_RATING
+    bad_upstreams: int = _N_UPSTREAMS
+
+
+def run_exposure() -> Iterator[BenchLine]:
+    """Measure exposure to each fault, and false stops."""
+    for name, fault, target in (
+        ('all_errors', Fault(error_share=1), 40),
+        ('errors_in_half', Fault(error_share=0.5), 40),
+        ('ratings_20_lower', Fault(rating=_GOOD_RATING - 20), 200),
+    ):
+        exposed = [_expose(seed, fault) for seed in KEPT_ASIDE_SEEDS]
+        exposed.sort()
+        yield make_line(
+            f'exposure.{name}.95th_percentile',
+            exposed[int(0.95 * len(exposed))],
+            'requests',
+            at_most=target,
+        )
+    healthy = [
+        _expose(seed, Fault()) < _LIMIT
+        for seed in range(1000, 1000 + _N_HEALTHY)
+    ]
+    yield make_line(
+        'exposure.false_stops_of_healthy_versions',
+        sum(healthy) / len(healthy),
+        'share',
+        at_most=0.01,
+    )
+    one_bad = [
+        _expose(seed, Fault(error_share=1, bad_upstreams=1)) < _LIMIT
+        for seed in KEPT_ASIDE_SEEDS
+    ]
+    yield make_line(
+        'exposure.stops_for_one_bad_upstream',
+        sum(one_bad) / len(one_bad),
+        'share',
+        at_most=0.01,
+    )
+
+
+def _expose(seed: int, fault: Fault) -> int:
+    """Count the requests until the version is stopped, or the limit."""
+    source = random.Random(seed)
+    pool = EvidencePool()
+    n_served = 0
+    waiting: list[tuple[str, UpstreamCounts]] = []
+    next_tell_s = _TELL_S
+    now_s = 0.0
+    while n_served < _LIMIT:
+        now_s += source.expovariate(_RATE_PER_S)
+        if now_s >= next_tell_s:
+            next_tell_s += _TELL_S
+            if _is_stopped(pool, waiting):
+                return n_served + int(_SPREAD_S * _RATE_PER_S)
+            waiting = []
+        upstream = source.randrange(_N_UPSTREAMS)
+        is_bad = upstream < fault.bad_upstreams
+        waiting.append((f'u{upstream}', _serve(source, fault, is_bad)))
+        n_served += 1
+    return _LIMIT
+
+
+def _is_stopped(
+    pool: EvidencePool, waiting: list[tuple[str, UpstreamCounts]]
+) -> bool:
+    for upstream_id, counts in waiting:
+        absorb_counts(pool, 'v', upstream_id, counts, _GOOD_RATING, _SETTINGS)
+    return bool(find_fault(pool, 'v', _SETTINGS))
+
+
+def _serve(source: random.Random, fault: Fault, is_bad: bool) -> UpstreamCounts:
+    error_share = fault.error_share if is_bad else Fault().error_share
+    mean = fault.rating if is_bad else _GOOD_RATING
+    counts = UpstreamCounts(1, int(source.random() < error_share))
+    if not counts.n_errors and source.random() < _RATED_SHARE:
+        counts.n_ratings = 1
+        rating = source.gauss(mean, _RATING_DEVIATION)
+        counts.rating_sum = min(100, max(0, rating))
+    return counts
--- a/packages/node/src/turmericcrank_node/dispatch.py
+++ b/packages/node/src/turmericcrank_node/dispatch.py
@@ -6,6 +6,13 @@
 import httpx
 import trio
 from expression import Error, Ok, Result
+from turmericcrank_core.admission import (
+    Rank,
+    note_begin,
+    note_over,
+    note_short,
+    plan_room_share,
+)
 from turmericcrank_core.codes import ResultCode
 from turmericcrank_core.errors import Refusal
 from turmericcrank_core.retries import RetryBudget
@@ -49,15 +56,17 @@
         request_id: Name of the request.
         fingerprint: Name of its content; empty when it can't crash one.
         prefix_key: Beginning of the prompt; empty for a service.
-        room_share: Share of the capacity that its priority may fill.
         last_ids: Upstreams that served its session, the last one first.
+        team: Team of the caller.
+        rank: Its place in the order in which requests get room.
     """
 
     request_id: str
     fingerprint: str
     prefix_key: str
-    room_share: float
     last_ids: tuple[str, ...] = ()
+    team: str = ''
+    rank: Rank = Rank(0, is_over=False)
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,7 +74,7 @@
     """A request at an upstream."""
 
     upstream: Upstream
-    request_id: str
+    wanted: Wanted
 
 
 def start_dispatch(
@@ -82,15 +91,16 @@
     Returns:
         Where it goes; overloaded when no upstream has room.
     """
+    now_s = trio.current_time()
+    room_share = plan_room_share(ctx.admission, wanted.rank, now_s)
     upstream_id = None
     for avoided in _iter_avoided(ctx, wanted, tried):
-        wish = Wish(
-            wanted.last_ids, wanted.prefix_key, avoided, wanted.room_share
-        )
-        upstream_id = ctx.select(ring, wish, trio.current_time())
+        wish = Wish(wanted.last_ids, wanted.prefix_key, avoided, room_share)
+        upstream_id = ctx.select(ring, wish, now_s)
         if upstream_id is not None:
             break
     if upstream_id is None:
+        note_short(ctx.admission, wanted.rank, now_s)
         code = ResultCode.no_upstream if tried else ResultCode.overloaded
         return Error(Refusal(code, retry_after_s=_COME_BACK_S))
     note_start(ctx.loads, upstream_id)
@@ -98,14 +108,17 @@
     flights = ctx.in_flight.setdefault(upstream_id, {})
     flights[wanted.request_id] = wanted.fingerprint
     upstream = ring.pool.upstreams_by_id[upstream_id]
-    return Ok(Dispatch(upstream, wanted.request_id))
+    note_begin(ctx.admission, wanted.team, wanted.rank.priority)
+    return Ok(Dispatch(upstream, wanted))
 
 
 def end_dispatch(ctx: NodeContext, dispatch: Dispatch) -> None:
     """Count the end of a request at its upstream."""
     upstream_id = dispatch.upstream.upstream_id
-    if ctx.in_flight[upstream_id].pop(dispatch.request_id, None) is not None:
+    wanted = dispatch.wanted
+    if ctx.in_flight[upstream_id].pop(wanted.request_id, None) is not None:
         note_end(ctx.loads, upstream_id)
+        note_over(ctx.admission, wanted.team, wanted.rank.priority)
         ctx.load_changed.set()
 
 
--- a/packages/node/src/turmericcrank_node/service_desk.py
+++ b/packages/node/src/turmericcrank_node/service_desk.py
@@ -7,6 +7,7 @@
 import httpx
 import trio
 from expression import Error, Ok, Result
+from turmericcrank_core.admission import plan_rank
 from turmericcrank_core.billing import Bill
 from turmericcrank_core.claims import (
     KeptAnswer,
@@ -17,7 +18,7 @@
 from turmericcrank_core.codes import ResultCode
 from turmericcrank_core.errors import Refusal
 from turmericcrank_core.event_codes import EventCode
-from turmericcrank_core.requests import list_allowed_pools, plan_room_share
+from turmericcrank_core.requests import list_allowed_pools
 from turmericcrank_core.retries import earn_retry, plan_delay_s, spend_retry
 from turmericcrank_core.selection import PoolRing
 from turmericcrank_core.tables import Route, RouteKind
@@ -209,9 +210,8 @@
     ctx: NodeContext, call: ServiceCall, ring: PoolRing, tried: frozenset[str]
 ) -> _Sent:
     caller = call.caller
-    wanted = Wanted(
-        caller.request_id, '', '', plan_room_share(call.route.priority)
-    )
+    rank = plan_rank(ctx.admission, caller.team, call.route.priority)
+    wanted = Wanted(caller.request_id, '', '', team=caller.team, rank=rank)
     started = start_dispatch(ctx, ring, wanted, tried)
     if started.is_error():
         return _Sent(None, started.error, '')
--- a/tests/core/test_limits.py
+++ b/tests/core/test_limits.py
@@ -6,6 +6,11 @@
     AdmissionBook,
     TeamLimits,
     admit_request,
+    note_begin,
+    note_over,
+    note_short,
+    plan_rank,
+    plan_room_share,
     release_request,
 )
 from turmericcrank_core.codes import CODES, Ran, ResultCode
@@ -76,3 +81,32 @@
     for code, row in CODES.items():
         if row.http_status in {429, 410}:
             assert row.ran is Ran.not_run, code
+
+
+def _plan_share(book, team, priority, now_s=0):
+    return plan_room_share(book, plan_rank(book, team, priority), now_s)
+
+
+def test_tills_come_first_and_within_a_priority_those_that_have_least():
+    book = AdmissionBook()
+    for _ in range(30):
+        note_begin(book, 'tills', 0)
+        note_begin(book, 'large', 5)
+    note_begin(book, 'small', 5)
+    ranked = [('tills', 0), ('small', 5), ('large', 5), ('drafts', 9)]
+    shares = [_plan_share(book, team, priority) for team, priority in ranked]
+    assert shares == sorted(shares, reverse=True)
+    assert len(set(shares)) == 4
+    assert shares[0] == 1
+    for _ in range(30):
+        note_over(book, 'large', 5)
+    assert _plan_share(book, 'large', 5) == shares[1]
+
+
+def test_where_a_higher_rank_found_no_room_lower_ones_get_none():
+    book = AdmissionBook()
+    note_short(book, plan_rank(book, 'planners', 5), now_s=10)
+    assert _plan_share(book, 'drafts', 9, 10.05) == 0
+    assert _plan_share(book, 'planners', 5, 10.05) > 0
+    assert _plan_share(book, 'tills', 0, 10.05) == 1
+    assert _plan_share(book, 'drafts', 9, 10.2) > 0
