--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/bench.py
@@ -0,0 +1,47 @@
+"""The bench: ``make bench`` prints one JSON object a line."""
+
+import sys
+from collections.abc import Callable, Iterator
+
+import fire
+
+from turmericcrank_dev.experiments.cost import run_cost
+from turmericcrank_dev.experiments.exposure import run_exposure
+from turmericcrank_dev.experiments.latency import run_latency
+from turmericcrank_dev.experiments.overload import run_overload
+from turmericcrank_dev.experiments.results import BenchLine, format_line
+from turmericcrank_dev.node_bench import (
+    run_authorization,
+    run_decisions,
+    run_node_costs,
+    run_node_slopes,
+)
+
+__all__ = ('main',)
+
+_PARTS: dict[str, Callable[[], Iterator[BenchLine]]] = {
+    'cost': run_cost,
+    'latency': run_latency,
+    'exposure': run_exposure,
+    'overload': run_overload,
+    'decisions': run_decisions,
+    'authorization': run_authorization,
+    'node': run_node_costs,
+    'slopes': run_node_slopes,
+}
+
+
+def main(*parts: str) -> None:
+    """Run the bench.
+
+    Args:
+        parts: Parts to run; all without any.
+    """
+    for part in parts or _PARTS:
+        for line in _PARTS[part]():
+            sys.stdout.write(f'{format_line(line)}\n')
+            sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/broken_variants.py
@@ -0,0 +1,268 @@
+"""Breaks one line at a time and checks that the named test sees it.
+
+``python -m turmericcrank_dev.broken_variants [PART OF A NAME]`` copies the
+packages, breaks the copy, and runs one test against it. A variant whose
+test still passes is a promise that is not proved.
+"""
+
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import fire
+
+__all__ = ('VARIANTS', 'Variant', 'main')
+
+_CORE = 'core/src/turmericcrank_core'
+_NODE = 'node/src/turmericcrank_node'
+
+
+@dataclass(slots=True, frozen=True)
+class Variant:
+    """One deliberate fault.
+
+    Attributes:
+        name: What is broken, in short.
+        path: File, below the packages.
+        line: Text that is replaced; stands once in the file.
+        broken: What stands there instead.
+        test: Test that must fail.
+    """
+
+    name: str
+    path: str
+    line: str
+    broken: str
+    test: str
+
+
+VARIANTS = (
+    Variant(
+        'any team may use any route',
+        f'{_CORE}/requests.py',
+        '        if team in route.teams:',
+        '        if route.teams:',
+        'tests/core/test_versions.py::'
+        'test_a_version_that_is_not_allowed_is_never_chosen',
+    ),
+    Variant(
+        'a retiring pool takes new sessions',
+        f'{_CORE}/requests.py',
+        '    if in_session:\n        taken',
+        '    if True:\n        taken',
+        'tests/core/test_versions.py::'
+        'test_the_state_of_a_pool_decides_who_may_use_it',
+    ),
+    Variant(
+        'an old sighting of the store counts',
+        f'{_CORE}/freshness.py',
+        '    oldest_allowed_s = now_s - settings.bound_s',
+        '    oldest_allowed_s = 0',
+        'tests/core/test_freshness.py::'
+        'test_a_node_that_lost_store_and_peers_stops',
+    ),
+    Variant(
+        'a frozen node trusts what it knew',
+        f'{_CORE}/freshness.py',
+        '    oldest_allowed_s = now_s - settings.bound_s',
+        '    oldest_allowed_s = 0',
+        'tests/site/test_cuts.py::'
+        'test_a_frozen_node_that_wakes_sends_a_withdrawn_version_nothing',
+    ),
+    Variant(
+        'half of the nodes are a majority',
+        f'{_CORE}/freshness.py',
+        '    if 2 * (n_heard + 1) > n_nodes:',
+        '    if 2 * (n_heard + 1) >= n_nodes:',
+        'tests/core/test_freshness.py::'
+        'test_no_cut_lets_one_side_accept_while_the_other_goes_on',
+    ),
+    Variant(
+        'a mark of another team is taken',
+        f'{_CORE}/sessions.py',
+        '    if mark is None or mark.team != team or mark.route != route.name:',
+        '    if mark is None or mark.route != route.name:',
+        'tests/core/test_sessions.py::'
+        'test_another_team_or_an_ended_session_is_refused',
+    ),
+    Variant(
+        'a session outlives the withdrawal',
+        f'{_CORE}/sessions.py',
+        '    if all(pool.state is PoolState.withdrawn for pool in pools):',
+        '    if not pools:',
+        'tests/core/test_sessions.py::'
+        'test_a_session_stays_on_a_retiring_pool_and_ends_on_a_withdrawn_one',
+    ),
+    Variant(
+        'a row that stands is not taken off the list',
+        f'{_CORE}/billing.py',
+        '        chain.left_by_id.pop(check_bill(raw).bill_id, None)',
+        '        check_bill(raw)',
+        'tests/core/test_billing.py::'
+        'test_any_writers_in_any_order_write_each_bill_once',
+    ),
+    Variant(
+        'copies of a lost node are never written',
+        f'{_NODE}/bill_desk.py',
+        '        if entry.kept_s > oldest_s or ctx.store.seems_down:',
+        '        if entry.kept_s > 0 or oldest_s:',
+        'tests/node/test_bill_desk.py::'
+        'test_bills_of_a_lost_node_are_written_by_its_peer',
+    ),
+    Variant(
+        'the end of a stream is not held back',
+        f'{_NODE}/model_stream.py',
+        '            state.held = whole',
+        '            given.append(whole)',
+        'tests/node/test_wire.py::'
+        'test_the_end_of_a_stream_is_held_back_however_it_is_cut',
+    ),
+    Variant(
+        'a resumed stream begins anew',
+        f'{_NODE}/model_stream.py',
+        '        ctx, call, broken.ring, state.n_events, broken.tried',
+        '        ctx, call, broken.ring, 0, broken.tried',
+        'tests/site/test_upstreams.py::'
+        'test_a_broken_stream_goes_on_at_another_upstream_and_is_billed_once',
+    ),
+    Variant(
+        'not run is said while a claim is in doubt',
+        f'{_NODE}/claim_desk.py',
+        '            if self.maybe_done:\n                return None',
+        '            if not self.maybe_done:\n                return None',
+        'tests/node/test_claim_desk.py::'
+        'test_nobody_says_not_run_while_a_claim_is_in_doubt',
+    ),
+    Variant(
+        'an open claim of another is taken over',
+        f'{_CORE}/claims.py',
+        '    if row.state is ClaimState.not_run:',
+        '    if row.state is not ClaimState.done:',
+        'tests/node/test_claim_desk.py::test_only_one_attempt_ever_sends',
+    ),
+    Variant(
+        'an own write is not recognized',
+        f'{_CORE}/claims.py',
+        '    if row.token == own_token and row.state is ClaimState.claimed:',
+        '    if not own_token:',
+        'tests/node/test_claim_desk.py::'
+        'test_a_lost_reply_is_recognized_as_an_own_write',
+    ),
+    Variant(
+        'a leaving upstream gets new work',
+        f'{_CORE}/selection.py',
+        '        if load.leaving or load.wrong_version:',
+        '        if load.wrong_version:',
+        'tests/site/test_upstreams.py::'
+        'test_a_leaving_upstream_gets_no_new_work',
+    ),
+    Variant(
+        'a stop does not wait for requests',
+        f'{_NODE}/node.py',
+        '    while ctx.n_running > 0:',
+        '    while ctx.n_running < 0:',
+        'tests/site/test_cuts.py::'
+        'test_a_stream_in_progress_outlasts_a_hurried_stop',
+    ),
+    Variant(
+        'older tables are adopted',
+        f'{_CORE}/revisions.py',
+        '    if snapshot.revision <= state.revision:',
+        '    if snapshot.revision == state.revision:',
+        'tests/core/test_revisions.py::'
+        'test_no_order_of_messages_takes_a_node_back',
+    ),
+    Variant(
+        'a lost acceptance reply reads as a conflict',
+        f'{_CORE}/revisions.py',
+        '    return stored is not None and stored.token == token',
+        '    return stored is not None and not token',
+        'tests/site/test_cuts.py::'
+        'test_a_lost_acceptance_reply_makes_one_revision',
+    ),
+    Variant(
+        'a running lease is taken',
+        f'{_CORE}/leases.py',
+        '    if now_s - watch.changed_s <= row.length_s:',
+        '    if now_s - watch.changed_s <= 1:',
+        'tests/core/test_leases.py::'
+        'test_two_holders_never_act_at_once_whatever_their_clocks',
+    ),
+    Variant(
+        'neighbours in a crash are convicted',
+        f'{_CORE}/suspects.py',
+        '        _earlier_suspects(book, crash) == {fingerprint}',
+        '        fingerprint in _earlier_suspects(book, crash)',
+        'tests/core/test_suspects.py::'
+        'test_two_suspects_in_one_crash_convict_neither',
+    ),
+    Variant(
+        'retries are not bounded',
+        f'{_CORE}/retries.py',
+        '    budget.tokens -= 1',
+        '    budget.tokens -= 0',
+        'tests/core/test_limits.py::'
+        'test_retries_are_bounded_in_proportion_to_first_attempts',
+    ),
+    Variant(
+        'one bad upstream condemns a version',
+        f'{_CORE}/exposure.py',
+        '        return sum(shares) - max(shares)',
+        '        return sum(shares)',
+        'tests/core/test_versions.py::'
+        'test_one_bad_upstream_does_not_stop_a_version',
+    ),
+)
+
+
+def main(part: str = '') -> None:
+    """Run the variants whose name holds a part; fail if one survives.
+
+    Args:
+        part: Part of a name; all without it.
+    """
+    survivors = list(_find_survivors(part))
+    for name in survivors:
+        sys.stdout.write(f'NOT SEEN: {name}\n')
+    sys.exit(bool(survivors))
+
+
+def _find_survivors(part: str) -> Iterator[str]:
+    for variant in VARIANTS:
+        if part in variant.name:
+            is_seen = _is_seen(variant)
+            verdict = 'seen' if is_seen else 'NOT SEEN'
+            sys.stdout.write(f'{verdict}: {variant.name}: {variant.test}\n')
+            sys.stdout.flush()
+            if not is_seen:
+                yield variant.name
+
+
+def _is_seen(variant: Variant) -> bool:
+    with tempfile.TemporaryDirectory() as folder:
+        packages = pathlib.Path(folder) / 'packages'
+        shutil.copytree('packages', packages)
+        path = packages / variant.path
+        text = path.read_text(encoding='utf-8')
+        if text.count(variant.line) != 1:
+            raise ValueError(f'the line must stand once: {variant.line!r}')
+        broken = text.replace(variant.line, variant.broken)
+        path.write_text(broken, encoding='utf-8')
+        sources = [str(source) for source in packages.glob('*/src')]
+        run = subprocess.run(
+            [sys.executable, '-m', 'pytest', '-q', '-x', variant.test],
+            env={**os.environ, 'PYTHONPATH': os.pathsep.join(sources)},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+    return run.returncode == 1 and '1 failed' in run.stdout
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/load.py
@@ -0,0 +1,166 @@
+"""Sends a bounded load of chat requests: the load tool.
+
+``python -m turmericcrank_dev.load --address=IP:PORT --key=KEY ...`` prints
+what came back. Every loop is bounded in count.
+"""
+
+import json
+import sys
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import fire
+import httpx
+import trio
+
+from turmericcrank_dev.experiments.results import find_percentile
+
+__all__ = ('LoadPlan', 'LoadResult', 'main', 'run_load')
+
+_TIMEOUT_S = 60
+_MAX_REQUESTS = 100000
+_MS = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class LoadPlan:
+    """What is sent.
+
+    Attributes:
+        address: ``IP:port`` on loopback.
+        key: Key of the team.
+        model: Route or version.
+        n_requests: Requests in all.
+        n_callers: Requests at once.
+        n_tokens: Tokens of each answer.
+        stream: Whether answers are streamed.
+    """
+
+    address: str
+    key: str
+    model: str = 'quotes'
+    n_requests: int = 100
+    n_callers: int = 4
+    n_tokens: int = 12
+    stream: bool = False
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """What came back.
+
+    Attributes:
+        statuses: Answers by HTTP status.
+        first_s: Time to the first part of each answer.
+        refused_s: Time to each refusal.
+        n_events: Events of all streams.
+        took_s: Length of the run.
+    """
+
+    statuses: Counter[int] = field(default_factory=Counter)
+    first_s: list[float] = field(default_factory=list)
+    refused_s: list[float] = field(default_factory=list)
+    n_events: int = 0
+    took_s: float = 0
+
+
+def run_load(plan: LoadPlan) -> LoadResult:
+    """Send the load and wait for its end."""
+    return trio.run(_send_all, plan)
+
+
+def main(
+    address: str,
+    key: str,
+    model: str = 'quotes',
+    n_requests: int = 100,
+    n_callers: int = 4,
+    stream: bool = False,
+) -> None:
+    """Send a load and print what came back.
+
+    Args:
+        address: ``IP:port`` on loopback.
+        key: Key of the team.
+        model: Route or version.
+        n_requests: Requests in all, at most 100,000.
+        n_callers: Requests at once.
+        stream: Whether answers are streamed.
+    """
+    plan = LoadPlan(
+        address,
+        key,
+        model,
+        min(n_requests, _MAX_REQUESTS),
+        n_callers,
+        stream=stream,
+    )
+    done = run_load(plan)
+    described = {
+        'statuses': dict(done.statuses),
+        'p50_first_ms': find_percentile(done.first_s, 50) * _MS,
+        'p95_first_ms': find_percentile(done.first_s, 95) * _MS,
+        'requests_per_s': plan.n_requests / done.took_s,
+        'events': done.n_events,
+    }
+    sys.stdout.write(f'{json.dumps(described)}\n')
+
+
+async def _send_all(plan: LoadPlan) -> LoadResult:
+    done = LoadResult()
+    numbers = iter(range(plan.n_requests))
+    begun_s = time.monotonic()
+    async with httpx.AsyncClient(
+        base_url=f'http://{plan.address}',
+        timeout=_TIMEOUT_S,
+        headers={'Authorization': f'Bearer {plan.key}'},
+        limits=httpx.Limits(max_connections=plan.n_callers),
+        trust_env=False,
+    ) as http:
+        async with trio.open_nursery() as nursery:
+            for _caller in range(plan.n_callers):
+                nursery.start_soon(_send_some, http, plan, numbers, done)
+    done.took_s = time.monotonic() - begun_s
+    return done
+
+
+async def _send_some(
+    http: httpx.AsyncClient,
+    plan: LoadPlan,
+    numbers: Iterator[int],
+    done: LoadResult,
+) -> None:
+    for number in numbers:
+        body = {
+            'model': plan.model,
+            'messages': [{'role': 'user', 'content': f'load {number}'}],
+            'max_tokens': plan.n_tokens,
+            'stream': plan.stream,
+        }
+        await _send_one(http, body, done)
+
+
+async def _send_one(
+    http: httpx.AsyncClient, body: dict[str, object], done: LoadResult
+) -> None:
+    begun_s = time.monotonic()
+    async with http.stream(
+        'POST', '/v1/chat/completions', json=body
+    ) as response:
+        is_first = True
+        async for part in response.aiter_raw():
+            if is_first:
+                is_first = False
+                took_s = time.monotonic() - begun_s
+            done.n_events += part.count(b'\n\n')
+        done.statuses[response.status_code] += 1
+        if response.is_success:
+            done.first_s.append(took_s)
+        else:
+            done.refused_s.append(took_s)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/packages/dev/src/turmericcrank_dev/site.py
+++ b/packages/dev/src/turmericcrank_dev/site.py
@@ -260,6 +260,21 @@
         """Wait until a process has ended and give its exit code."""
         return self._processes_by_name.pop(name).wait(limit_s)
 
+    def find_pid(self, name: str) -> int:
+        """Give the process id of a process that this site started."""
+        return self._processes_by_name[name].pid
+
+    def start_bare_relay(self, target_port: int) -> int:
+        """Start the bare relay before a back end and give its port."""
+        port = find_port()
+        self._start_module(
+            'bare-relay',
+            'bare_relay',
+            ['--port', str(port), '--target_port', str(target_port)],
+        )
+        self._wait_for(f'http://127.0.0.1:{port}/health')
+        return port
+
     def is_running(self, name: str) -> bool:
         """Tell whether a process runs."""
         process = self._processes_by_name.get(name)
@@ -303,8 +318,14 @@
 
     def _start(self, name: str, command: list[str]) -> None:
         output = (self.folder / f'{name}.out').open('ab')
+        # A session of its own: a stopped process in a group that loses its
+        # shell is hung up by the kernel.
         self._processes_by_name[name] = subprocess.Popen(
-            command, stdout=output, stderr=output, cwd=self.folder
+            command,
+            stdout=output,
+            stderr=output,
+            cwd=self.folder,
+            start_new_session=True,
         )
         output.close()
 
--- a/packages/node/src/turmericcrank_node/model_calls.py
+++ b/packages/node/src/turmericcrank_node/model_calls.py
@@ -197,6 +197,7 @@
         'Content-Type': 'application/json',
         'X-Request-Id': call.request_id,
         'X-Priority': str(call.route.priority),
+        'X-Deadline-S': str(call.deadline_s - trio.current_time()),
     }
     if n_done:
         headers['X-Resume-After'] = str(n_done)
@@ -205,6 +206,7 @@
         request=call.request_id,
         upstream=upstream.upstream_id,
         version=ring.pool.model_version,
+        session=call.mark.session_id if call.mark else '',
     )
     outcome = None
     begun_s = trio.current_time()
--- a/packages/node/src/turmericcrank_node/model_stream.py
+++ b/packages/node/src/turmericcrank_node/model_stream.py
@@ -50,6 +50,8 @@
         usage: Usage stated by the engine; None until the end.
         done: Whether the marked end came.
         kept: Beginning of the stream, for the rating.
+        n_bytes: Bytes relayed.
+        too_long: Whether the stream went over its limit.
     """
 
     n_events: int = 0
@@ -57,6 +59,8 @@
     usage: dict[str, Any] | None = None
     done: bool = False
     kept: bytearray = field(default_factory=bytearray)
+    n_bytes: int = 0
+    too_long: bool = False
 
 
 def split_block(state: StreamState, block: bytes) -> bytes:
@@ -132,6 +136,10 @@
             given = split_block(state, block)
             if len(state.kept) < _MAX_RATED_BYTES:
                 state.kept += given
+            state.n_bytes += len(given)
+            state.too_long = state.n_bytes > ctx.settings.max_stream_bytes
+            if state.too_long:
+                break
             if given:
                 yield given
     except (httpx.HTTPError, TimeoutError):
@@ -147,6 +155,9 @@
     state: StreamState,
 ) -> tuple[Opened | None, Refusal]:
     call = planned.call
+    if state.too_long:
+        detail = f'The limit is {ctx.settings.max_stream_bytes} bytes.'
+        return None, Refusal(ResultCode.stream_broken, detail)
     if trio.current_time() >= call.deadline_s:
         return None, Refusal(ResultCode.deadline_passed)
     ctx.log.write(
--- a/packages/node/src/turmericcrank_node/settings.py
+++ b/packages/node/src/turmericcrank_node/settings.py
@@ -46,6 +46,7 @@
     'bill_flush_s': Number(0.05, 60, 0.5),
     'bill_takeover_s': Number(1, _HOUR_S, 10),
     'max_body_bytes': Number(1, 64 * _MEBIBYTE, _MEBIBYTE, whole=True),
+    'max_stream_bytes': Number(1, 1024 * _MEBIBYTE, 16 * _MEBIBYTE, whole=True),
     'body_timeout_s': Number(0.1, _HOUR_S, 10),
     'connect_timeout_s': Number(0.05, 60, 1),
     'read_timeout_s': Number(0.1, _HOUR_S, 30),
@@ -105,6 +106,7 @@
     bill_flush_s: float
     bill_takeover_s: float
     max_body_bytes: int
+    max_stream_bytes: int
     body_timeout_s: float
     connect_timeout_s: float
     read_timeout_s: float
--- a/tests/site/test_upstreams.py
+++ b/tests/site/test_upstreams.py
@@ -178,3 +178,43 @@
         return answer.json()['model'] == 'small@3'
 
     wait_until(answered, LIMIT_S, 'the engine has loaded version 3')
+
+
+def test_a_roll_out_goes_on_when_the_node_that_moved_it_is_lost(site):
+    rollout = {
+        'pool': 'small-2',
+        'replaces': 'small-1',
+        'percents': [50, 75, 100],
+        'step_s': 1,
+        'started_s': 1,
+    }
+    site.apply_tables(site.change_route('quotes', rollout=rollout))
+    movers = []
+
+    def begun():
+        movers.extend(
+            node
+            for node in ('n1', 'n2')
+            if find_events(site, node, 'rollout_step')
+        )
+        return movers
+
+    wait_until(begun, LIMIT_S, 'the roll-out has begun')
+    lost = movers[0]
+    left = 'n2' if lost == 'n1' else 'n1'
+    site.kill(lost)
+    site.list_node(lost, 'gone')
+
+    def finished():
+        ask(site, left)
+        return len(find_events(site, left, 'rollout_step')) == 2
+
+    wait_until(finished, LIMIT_S * 3, 'the other node moved it on')
+
+
+def test_a_stream_over_its_limit_ends_with_an_error(empty_site):
+    empty_site.start_back_ends(n_small=1)
+    empty_site.start_nodes(['n1'], max_stream_bytes=2000)
+    answer = ask(empty_site, 'n1', 'plan', stream=True, max_tokens=500)
+    assert '[DONE]' not in answer.text
+    assert '"code": 4003' in answer.text.splitlines()[-2]
