Work out the capacity from measured slopes

Found while measuring: test sites chose ports of the range that outgoing calls use (a node failed to start at 32 nodes); 32 load reports each half second would have cost more than the whole budget at 3,500 upstreams; 5.5 calls a second of each node would have been 2,690 reads a second. Change: reports of home upstreams only, 4 a second; pauses stretch with the number of nodes; a lease for each cell; counters of bytes and calls.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,10 @@
 	$(BIN)/python -m turmericcrank_dev.demo
 
 test: $(STAMP)
-	$(BIN)/python -m behave --format progress
+	mkdir -p out
+	$(BIN)/python -m behave --format json --outfile out/behave.json --format progress
 	$(BIN)/python -m turmericcrank_dev.known_red
+	$(BIN)/python -m turmericcrank_dev.proofs_check
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check packages tests features
--- a/packages/core/src/turmericcrank_core/cells.py
+++ b/packages/core/src/turmericcrank_core/cells.py
@@ -12,7 +12,13 @@
 
 from turmericcrank_core.tables import Upstream
 
-__all__ = ('make_home_test', 'plan_cell', 'plan_n_cells')
+__all__ = (
+    'find_cell',
+    'make_home_test',
+    'plan_cell',
+    'plan_n_cells',
+    'plan_pause_s',
+)
 
 _NODES_PER_CELL = 8
 _MIN_UPSTREAMS = 16
@@ -33,25 +39,41 @@
     return 2 ** int(math.log2(most)) if most > 1 else 1
 
 
+def plan_pause_s(base_s: float, n_nodes: int, n_full: int) -> float:
+    """Stretch a pause so that all nodes together stay under a rate.
+
+    Args:
+        base_s: Pause of a small site, in seconds.
+        n_nodes: Entry nodes on the VM list.
+        n_full: Nodes up to which the pause is not stretched.
+
+    Example:
+        >>> plan_pause_s(1, 8, 250), plan_pause_s(1, 500, 250)
+        (1, 2.0)
+    """
+    return base_s * max(1, n_nodes / n_full)
+
+
 def plan_cell(node_ids: Iterable[str], own_id: str, n_cells: int) -> set[str]:
     """List the other nodes of a node's cell."""
-    cell = _find_cell(own_id, n_cells)
+    cell = find_cell(own_id, n_cells)
     return {
         node_id
         for node_id in node_ids
-        if node_id != own_id and _find_cell(node_id, n_cells) == cell
+        if node_id != own_id and find_cell(node_id, n_cells) == cell
     }
 
 
 def make_home_test(own_id: str, n_cells: int) -> Callable[[Upstream], bool]:
     """Make the test whether an upstream belongs to a node's cell."""
-    cell = _find_cell(own_id, n_cells)
+    cell = find_cell(own_id, n_cells)
 
     def is_home(upstream: Upstream) -> bool:
-        return _find_cell(upstream.upstream_id, n_cells) == cell
+        return find_cell(upstream.upstream_id, n_cells) == cell
 
     return is_home
 
 
-def _find_cell(name: str, n_cells: int) -> int:
+def find_cell(name: str, n_cells: int) -> int:
+    """Find the cell of a node or an upstream by its name."""
     return xxhash.xxh3_64_intdigest(name.encode()) % n_cells
--- a/packages/dev/src/turmericcrank_dev/bench.py
+++ b/packages/dev/src/turmericcrank_dev/bench.py
@@ -10,6 +10,7 @@
 from turmericcrank_dev.experiments.latency import run_latency
 from turmericcrank_dev.experiments.overload import run_overload
 from turmericcrank_dev.experiments.results import BenchLine, format_line
+from turmericcrank_dev.memory_bench import run_memory
 from turmericcrank_dev.node_bench import (
     run_authorization,
     run_decisions,
@@ -26,6 +27,7 @@
     'overload': run_overload,
     'decisions': run_decisions,
     'authorization': run_authorization,
+    'memory': run_memory,
     'node': run_node_costs,
     'slopes': run_node_slopes,
 }
--- a/packages/dev/src/turmericcrank_dev/node_bench.py
+++ b/packages/dev/src/turmericcrank_dev/node_bench.py
@@ -53,8 +53,9 @@
 _IDLE_S = 15
 _EDITS = 6
 _P95 = 95
+_PERCENT = 100
 _POOL_SIZES = (64, 512, 3500)
-_NODE_COUNTS = (2, 8, 16, 32)
+_NODE_COUNTS = (2, 8, 20, 40)
 
 
 def run_decisions() -> Iterator[BenchLine]:
@@ -254,41 +255,44 @@
         cpu_share: Share of a core.
         memory_mib: Resident memory.
         edit_s: Longest time until an edit was in force everywhere.
+        peer_bytes_per_s: Bytes to and from the other nodes.
+        store_calls_per_s: Calls to the platform.
     """
 
     cpu_share: float
     memory_mib: float
     edit_s: float
+    peer_bytes_per_s: float
+    store_calls_per_s: float
 
 
 def run_node_slopes() -> Iterator[BenchLine]:
-    """Measure control against the number of real nodes."""
+    """Measure control against the number of real nodes, without load."""
     idles = {}
     for n_nodes in _NODE_COUNTS:
         idles[n_nodes] = _measure_idle(n_nodes)
-        idle = idles[n_nodes]
-        yield make_line(
-            f'control.{n_nodes}_nodes.cpu',
-            idle.cpu_share * 100,
-            '% of a core',
-            at_most=3.2,
-        )
-        yield make_line(
-            f'control.{n_nodes}_nodes.memory',
-            idle.memory_mib,
-            'MiB',
-            at_most=256,
-        )
-        yield make_line(
-            f'control.{n_nodes}_nodes.edit_in_force',
-            idle.edit_s,
-            's',
-            at_most=5,
-        )
-    low, high = _NODE_COUNTS[1], _NODE_COUNTS[-1]
+        yield from _describe_idle(n_nodes, idles[n_nodes])
+    low, high = _NODE_COUNTS[0], _NODE_COUNTS[2]
     more = idles[high].cpu_share - idles[low].cpu_share
     yield make_line(
-        'control.cpu_per_added_node', more * 100 / (high - low), '% of a core'
+        'control.cpu_per_sampled_peer',
+        more * _PERCENT / (high - low),
+        '% of a core',
+    )
+
+
+def _describe_idle(n_nodes: int, idle: _Idle) -> Iterator[BenchLine]:
+    name = f'control.{n_nodes}_nodes'
+    yield make_line(
+        f'{name}.cpu', idle.cpu_share * _PERCENT, '% of a core', at_most=3.2
+    )
+    yield make_line(f'{name}.memory', idle.memory_mib, 'MiB', at_most=256)
+    yield make_line(f'{name}.edit_in_force', idle.edit_s, 's', at_most=5)
+    yield make_line(
+        f'{name}.peer_bytes', idle.peer_bytes_per_s, 'B/s', at_most=9000
+    )
+    yield make_line(
+        f'{name}.store_calls', idle.store_calls_per_s, 'calls/s per node'
     )
 
 
@@ -303,14 +307,19 @@
 def _measure_idle_site(site: Site, n_nodes: int) -> _Idle:
     tables = _start_idle_site(site, n_nodes)
     before = _read_all(site)
+    counts = [site.count_store_calls(), site.read_status()['peer_bytes']]
     time.sleep(_IDLE_S)
     after = _read_all(site)
+    n_calls = site.count_store_calls() - counts[0]
+    n_bytes = site.read_status()['peer_bytes'] - counts[1]
     used_s = sum(usage.cpu_s for usage in after)
     used_s -= sum(usage.cpu_s for usage in before)
     return _Idle(
         used_s / n_nodes / _IDLE_S,
         max(usage.memory_bytes for usage in after) / _MEBIBYTE,
         max(_time_edit(site, tables, step) for step in range(_EDITS)),
+        n_bytes / _IDLE_S,
+        n_calls / n_nodes / _IDLE_S,
     )
 
 
--- a/packages/dev/src/turmericcrank_dev/site.py
+++ b/packages/dev/src/turmericcrank_dev/site.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import ssl
@@ -29,13 +30,20 @@
 _POLL_S = 0.05
 _STOP_LIMIT_S = 15
 _CALL_S = 5
+_LOWEST_PORT = 12000
+_HIGHEST_PORT = 32000
 
 
 def find_port() -> int:
-    """Find a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+    """Find a TCP port that is free now, below those of outgoing calls."""
+    while True:
+        port = random.randrange(_LOWEST_PORT, _HIGHEST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        return port
 
 
 def wait_until(is_done: Callable[[], bool], limit_s: float, what: str) -> None:
@@ -238,6 +246,12 @@
         asked = {'table': table, 'limit': 100000}
         yield from self._http.post(url, json=asked).json()['rows']
 
+    def count_store_calls(self) -> int:
+        """Count the reads and writes at the platform's stand-in."""
+        url = f'{self.scheme}://127.0.0.1:{self.platform_port}/counts'
+        counts = self._http.get(url).json()
+        return int(counts['reads'] + counts['writes'])
+
     def read_journal(self, port: int) -> list[dict[str, Any]]:
         """Read what a plain service has booked."""
         return list(
--- a/packages/node/src/turmericcrank_node/admin_app.py
+++ b/packages/node/src/turmericcrank_node/admin_app.py
@@ -194,6 +194,7 @@
         'freshness': str(ctx.freshness()),
         'stops': ctx.reasons_by_stop,
         'nodes': nodes,
+        'peer_bytes': ctx.n_peer_bytes,
     }
     return Ok(make_reply(ResultCode.answered, body))
 
--- a/packages/node/src/turmericcrank_node/bill_desk.py
+++ b/packages/node/src/turmericcrank_node/bill_desk.py
@@ -32,6 +32,7 @@
 _MAX_BATCH = 2000
 _COPY_S = 0.3
 _GATHER_S = 0.002
+_N_FULL = 120
 
 
 @dataclass(slots=True)
@@ -238,7 +239,7 @@
     ctx: NodeContext, desk: BillDesk, shelf: CopyShelf
 ) -> None:
     while True:
-        await trio.sleep(ctx.settings.bill_flush_s)
+        await trio.sleep(ctx.pause_s(ctx.settings.bill_flush_s, _N_FULL))
         await flush_bills(ctx, desk)
         await _take_over(ctx, shelf)
 
--- a/packages/node/src/turmericcrank_node/conductor.py
+++ b/packages/node/src/turmericcrank_node/conductor.py
@@ -1,9 +1,11 @@
 """Moves roll-outs on and gives orders to engines, under one lease.
 
-Any node may hold the lease. A holder that lapses stops before its lease
-ends by its own clock; orders carry the fencing number. For upstreams that
-do not check it, an order only says which version the table in force wants,
-so a late one is repeated or undone by the next holder's reading.
+Any node may hold the lease. With many nodes each cell has one, for its own
+upstreams, and that of the first cell moves the roll-outs. A holder that
+lapses stops before its lease ends by its own clock; orders carry the fencing
+number. For upstreams that do not check it, an order only says which version
+the table in force wants, so a late one is repeated or undone by the next
+holder's reading.
 """
 
 import time
@@ -13,6 +15,7 @@
 
 import httpx
 import trio
+from turmericcrank_core.cells import find_cell
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.leases import (
     LeaseRow,
@@ -38,11 +41,11 @@
 __all__ = ('ConductorState', 'serve_conductor')
 
 _LEASES = 'leases'
-_KEY = 'conductor'
 _ROLLOUTS = 'rollouts'
 _TICKS_PER_LEASE = 4
 _ORDER_TIMEOUT_S = 1
 _MIN_ANSWERS = 10
+_N_FULL = 120
 _MAX_ORDERS_PER_TICK = 4
 
 
@@ -69,18 +72,26 @@
     """Hold or watch the lease for ever, and act while it is held."""
     state = ConductorState()
     while True:
-        await trio.sleep(ctx.settings.order_lease_s / _TICKS_PER_LEASE)
+        pause_s = ctx.settings.order_lease_s / _TICKS_PER_LEASE
+        if state.row is None:
+            pause_s = ctx.pause_s(pause_s, _N_FULL)
+        await trio.sleep(pause_s)
         if ctx.leaving or ctx.revision.revision == 0:
             continue
         await _hold_or_watch(ctx, state)
-        if _may_act(ctx, state):
+        if _may_act(ctx, state) and _find_own_cell(ctx) == 0:
             await _move_rollouts(ctx, state)
         if _may_act(ctx, state):
             await _order_versions(ctx, state)
 
 
+def _find_own_cell(ctx: NodeContext) -> int:
+    return find_cell(ctx.settings.node_id, ctx.n_cells)
+
+
 async def _hold_or_watch(ctx: NodeContext, state: ConductorState) -> None:
-    found = await ctx.store.read([(_LEASES, _KEY)])
+    key = f'conductor-{_find_own_cell(ctx)}'
+    found = await ctx.store.read([(_LEASES, key)])
     if found.is_error():
         return
     stored = found.ok[0]
@@ -92,7 +103,7 @@
         state.row = None
         return
     outcome = await ctx.store.transact(
-        [Operation(_LEASES, _KEY, stored.version, write_lease(row))]
+        [Operation(_LEASES, key, stored.version, write_lease(row))]
     )
     if outcome.is_ok() and outcome.ok[0].held:
         state.row = row
@@ -181,10 +192,10 @@
     for ring in ctx.rings_by_pool.values():
         if ring.pool.state is PoolState.withdrawn:
             continue
-        for upstream in ring.pool.upstreams_by_id.values():
-            load = ctx.loads.loads_by_id.get(upstream.upstream_id)
+        for upstream_id in ring.home_ids:
+            load = ctx.loads.loads_by_id.get(upstream_id)
             if load is not None and load.wrong_version and not load.leaving:
-                yield ring.pool, upstream
+                yield ring.pool, ring.pool.upstreams_by_id[upstream_id]
 
 
 async def _give_order(
--- a/packages/node/src/turmericcrank_node/context.py
+++ b/packages/node/src/turmericcrank_node/context.py
@@ -14,6 +14,7 @@
 from turmericcrank_core.admission import AdmissionBook
 from turmericcrank_core.billing import Bill
 from turmericcrank_core.cascade import CascadePolicy
+from turmericcrank_core.cells import plan_pause_s
 from turmericcrank_core.exposure import EvidencePool, SpeedBook, UpstreamCounts
 from turmericcrank_core.freshness import (
     Freshness,
@@ -152,11 +153,17 @@
     ask_peer: AskPeer | None = None
     bill_sender: Any = None
     nursery: Any = None
+    # Counted by peers and peer_server: bytes to and from other nodes.
+    n_peer_bytes: int = 0
 
     def url_of(self, address: str, path: str) -> str:
         """Give the URL of a path at an upstream."""
         return f'{self.settings.upstream_scheme}://{address}{path}'
 
+    def pause_s(self, base_s: float, n_full: int) -> float:
+        """Stretch a pause to the number of nodes on the VM list."""
+        return plan_pause_s(base_s, len(self.window.listed) + 1, n_full)
+
     def freshness(self) -> Freshness:
         """Decide now whether the tables may be relied on."""
         return plan_freshness(
--- a/packages/node/src/turmericcrank_node/dispatch.py
+++ b/packages/node/src/turmericcrank_node/dispatch.py
@@ -41,8 +41,8 @@
     'start_dispatch',
 )
 
-_REPORT_S = 0.5
-_MAX_REPORTS = 32
+_REPORT_S = 1
+_MAX_REPORTS = 4
 _EJECT_S = 2
 _COME_BACK_S = 1
 _REPORT_TIMEOUT_S = 0.5
@@ -154,9 +154,7 @@
         _mark_leaving(ctx)
         rings = list(_iter_model_rings(ctx))
         members = [
-            (ring, upstream)
-            for ring in rings
-            for upstream in ring.pool.upstreams_by_id.values()
+            (ring, upstream) for ring in rings for upstream in _list_home(ring)
         ]
         n_chosen = min(len(members), _MAX_REPORTS)
         async with trio.open_nursery() as nursery:
@@ -204,6 +202,11 @@
             yield ctx.rings_by_pool[name]
 
 
+def _list_home(ring: PoolRing) -> list[Upstream]:
+    upstreams = ring.pool.upstreams_by_id
+    return [upstreams[upstream_id] for upstream_id in ring.home_ids]
+
+
 async def _refresh_report(
     ctx: NodeContext, ring: PoolRing, upstream: Upstream
 ) -> None:
--- a/packages/node/src/turmericcrank_node/draft_desk.py
+++ b/packages/node/src/turmericcrank_node/draft_desk.py
@@ -40,7 +40,8 @@
 _DRAFTS = 'drafts'
 _QUEUE = 'draft_queue'
 _PAGE = 50
-_PAUSE_S = 0.5
+_PAUSE_S = 1
+_N_FULL = 8
 _COME_BACK_S = 2
 _RENEW_SHARE = 0.33
 _MAX_FAILURES = 20
@@ -131,7 +132,7 @@
     runner = DraftRunner()
     async with trio.open_nursery() as nursery:
         while True:
-            await trio.sleep(_PAUSE_S)
+            await trio.sleep(ctx.pause_s(_PAUSE_S, _N_FULL))
             if not ctx.leaving and check_standing(ctx).is_ok():
                 await _take_queued(ctx, runner, nursery)
 
--- a/packages/node/src/turmericcrank_node/peer_server.py
+++ b/packages/node/src/turmericcrank_node/peer_server.py
@@ -65,10 +65,12 @@
     with trio.fail_after(_PROOF_S):
         await prove_as_server(peer, ctx.settings.node_secret)
     while True:
+        before = peer.n_bytes
         message = await peer.receive()
         if message is None:
             return
         await peer.send(answer_message(ctx, shelf, message))
+        ctx.n_peer_bytes += peer.n_bytes - before
 
 
 def answer_message(ctx: NodeContext, shelf: CopyShelf, message: Any) -> Any:
--- a/packages/node/src/turmericcrank_node/peers.py
+++ b/packages/node/src/turmericcrank_node/peers.py
@@ -42,7 +42,6 @@
 
     questions_by_address: dict[str, Any] = field(default_factory=dict)
     resting_until_by_address: dict[str, float] = field(default_factory=dict)
-    n_bytes: int = 0
     tls: ssl.SSLContext | None = None
 
 
@@ -126,7 +125,7 @@
         with trio.fail_after(question.timeout_s):
             await peer.send(question.message)
             answer = await peer.receive()
-        links.n_bytes += peer.n_bytes - before
+        ctx.n_peer_bytes += peer.n_bytes - before
     except (OSError, trio.TooSlowError, PeerStreamError) as error:
         if peer is not None:
             await peer.close()
--- a/packages/node/src/turmericcrank_node/stream_reader.py
+++ b/packages/node/src/turmericcrank_node/stream_reader.py
@@ -74,8 +74,9 @@
         given_s = 0.0
         while True:
             await self._arrived.wait()
-            if not self._is_over:
-                await trio.sleep_until(given_s + _PACE_S)
+            pause_s = given_s + _PACE_S - trio.current_time()
+            if pause_s > 0 and not self._is_over:
+                await trio.sleep(pause_s)
             is_over = self._is_over
             block = self._take_whole_events()
             if block:
--- a/packages/node/src/turmericcrank_node/watcher.py
+++ b/packages/node/src/turmericcrank_node/watcher.py
@@ -16,13 +16,14 @@
 
 _ROLLOUTS = 'rollouts'
 _STOPS = 'stops'
+_N_FULL = 250
 
 
 async def serve_watch(ctx: NodeContext) -> None:
     """Read the head of the tables for ever and adopt what is new."""
     while True:
         await _watch_once(ctx)
-        await trio.sleep(ctx.settings.poll_s)
+        await trio.sleep(ctx.pause_s(ctx.settings.poll_s, _N_FULL))
 
 
 async def serve_vm_watch(ctx: NodeContext) -> None:
@@ -33,7 +34,7 @@
             note_vms(ctx, listed.ok['sequence'], listed.ok['vms'])
             if listed.ok['vms']:
                 build_rings(ctx)
-        await trio.sleep(ctx.settings.poll_s)
+        await trio.sleep(ctx.pause_s(ctx.settings.poll_s, _N_FULL))
 
 
 async def _watch_once(ctx: NodeContext) -> None:
