Split large modules and drop what nothing uses

Ruled out: nothing changes in behaviour but metrics: the time to the begin of an answer and the requests in progress are sent now.

--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from turmericcrank_core.billing import check_bill
 from turmericcrank_dev.caller import Caller
-from turmericcrank_dev.site import wait_until
+from turmericcrank_dev.processes import wait_until
 from turmericcrank_dev.site_data import TEAM_KEYS
 
 
--- a/packages/core/src/turmericcrank_core/addressing.py
+++ b/packages/core/src/turmericcrank_core/addressing.py
@@ -13,7 +13,7 @@
     'AddressRow',
     'EntryNode',
     'plan_addresses',
-    'plan_stop_times',
+    'plan_refuse_s',
 )
 
 _MIN_WEIGHT = 1
@@ -102,23 +102,12 @@
     return AddressAnswer(rows, keep_s)
 
 
-@dataclass(slots=True, frozen=True)
-class StopTimes:
-    """When a planned stop moves on, monotonic seconds.
-
-    Attributes:
-        refuse_s: From when new requests are refused.
-        leave_s: Latest exit; None means when the last request has ended.
-    """
-
-    refuse_s: float
-    leave_s: float | None
-
-
-def plan_stop_times(
+def plan_refuse_s(
     now_s: float, keep_s: float, settle_s: float, hurried: bool
-) -> StopTimes:
-    """Plan a stop: leave the answers, wait for kept ones, then drain.
+) -> float:
+    """Plan from when a stopping node refuses new requests.
+
+    A request in progress is never cut, whenever that is.
 
     Args:
         now_s: Monotonic time of the signal.
@@ -127,11 +116,11 @@
         hurried: Whether a second signal cut the wait.
 
     Returns:
-        Times of the steps; a request in progress is never cut.
+        Monotonic time, in seconds.
     """
     if hurried:
-        return StopTimes(refuse_s=now_s, leave_s=None)
-    return StopTimes(refuse_s=now_s + settle_s + keep_s, leave_s=None)
+        return now_s
+    return now_s + settle_s + keep_s
 
 
 def _weigh(node: EntryNode) -> int:
--- a/packages/dev/src/turmericcrank_dev/bench.py
+++ b/packages/dev/src/turmericcrank_dev/bench.py
@@ -5,18 +5,15 @@
 
 import fire
 
+from turmericcrank_dev.control_bench import run_node_slopes
+from turmericcrank_dev.decision_bench import run_authorization, run_decisions
 from turmericcrank_dev.experiments.cost import run_cost
 from turmericcrank_dev.experiments.exposure import run_exposure
 from turmericcrank_dev.experiments.latency import run_latency
 from turmericcrank_dev.experiments.overload import run_overload
 from turmericcrank_dev.experiments.results import BenchLine, format_line
 from turmericcrank_dev.memory_bench import run_memory
-from turmericcrank_dev.node_bench import (
-    run_authorization,
-    run_decisions,
-    run_node_costs,
-    run_node_slopes,
-)
+from turmericcrank_dev.node_bench import run_node_costs
 
 __all__ = ('main',)
 
--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/control_bench.py
@@ -0,0 +1,139 @@
+"""Measures what control costs a real node, against the number of nodes."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from turmericcrank_dev.experiments.results import (
+    BenchLine,
+    make_line,
+)
+from turmericcrank_dev.process_usage import Usage, read_usage
+from turmericcrank_dev.processes import wait_until
+from turmericcrank_dev.site import Site
+from turmericcrank_dev.site_data import (
+    PoolPlan,
+    build_pool,
+    build_route,
+    build_tables,
+)
+
+__all__ = ('run_node_slopes',)
+
+_MEBIBYTE = 1024 * 1024
+_IDLE_S = 15
+_EDITS = 6
+_PERCENT = 100
+_NODE_COUNTS = (2, 8, 20, 40)
+
+
+@dataclass(slots=True, frozen=True)
+class _Idle:
+    """What one node uses for control alone.
+
+    Attributes:
+        cpu_share: Share of a core.
+        memory_mib: Resident memory.
+        edit_s: Longest time until an edit was in force everywhere.
+        peer_bytes_per_s: Bytes to and from the other nodes.
+        store_calls_per_s: Calls to the platform.
+    """
+
+    cpu_share: float
+    memory_mib: float
+    edit_s: float
+    peer_bytes_per_s: float
+    store_calls_per_s: float
+
+
+def run_node_slopes() -> Iterator[BenchLine]:
+    """Measure control against the number of real nodes, without load."""
+    idles = {}
+    for n_nodes in _NODE_COUNTS:
+        idles[n_nodes] = _measure_idle(n_nodes)
+        yield from _describe_idle(n_nodes, idles[n_nodes])
+    low, high = _NODE_COUNTS[0], _NODE_COUNTS[2]
+    more = idles[high].cpu_share - idles[low].cpu_share
+    yield make_line(
+        'control.cpu_per_sampled_peer',
+        more * _PERCENT / (high - low),
+        '% of a core',
+    )
+
+
+def _describe_idle(n_nodes: int, idle: _Idle) -> Iterator[BenchLine]:
+    name = f'control.{n_nodes}_nodes'
+    yield make_line(
+        f'{name}.cpu', idle.cpu_share * _PERCENT, '% of a core', at_most=3.2
+    )
+    yield make_line(f'{name}.memory', idle.memory_mib, 'MiB', at_most=256)
+    yield make_line(f'{name}.edit_in_force', idle.edit_s, 's', at_most=5)
+    yield make_line(
+        f'{name}.peer_bytes', idle.peer_bytes_per_s, 'B/s', at_most=9000
+    )
+    yield make_line(
+        f'{name}.store_calls', idle.store_calls_per_s, 'calls/s per node'
+    )
+
+
+def _measure_idle(n_nodes: int) -> _Idle:
+    site = Site()
+    try:
+        return _measure_idle_site(site, n_nodes)
+    finally:
+        site.stop()
+
+
+def _measure_idle_site(site: Site, n_nodes: int) -> _Idle:
+    tables = _start_idle_site(site, n_nodes)
+    before = _read_all(site)
+    counts = [site.count_store_calls(), site.read_status()['peer_bytes']]
+    time.sleep(_IDLE_S)
+    after = _read_all(site)
+    n_calls = site.count_store_calls() - counts[0]
+    n_bytes = site.read_status()['peer_bytes'] - counts[1]
+    used_s = sum(usage.cpu_s for usage in after)
+    used_s -= sum(usage.cpu_s for usage in before)
+    return _Idle(
+        used_s / n_nodes / _IDLE_S,
+        max(usage.memory_bytes for usage in after) / _MEBIBYTE,
+        max(_time_edit(site, tables, step) for step in range(_EDITS)),
+        n_bytes / _IDLE_S,
+        n_calls / n_nodes / _IDLE_S,
+    )
+
+
+def _start_idle_site(site: Site, n_nodes: int) -> dict[str, Any]:
+    site.start_platform()
+    port = site.start_engine('engine')
+    for number in range(n_nodes):
+        site.add_node(f'n{number}', f'dc{number % 2}')
+    for name in site.nodes_by_name:
+        site.start_node(name, poll_s=1, freshness_bound_s=4)
+    site.wait_for_members()
+    pool = build_pool(PoolPlan('small', '1', {'engine': port}))
+    route = build_route('model', ['planners'], ['small'])
+    tables = build_tables({'quotes': route}, {'small': pool})
+    site.apply_tables(tables)
+    return tables
+
+
+def _read_all(site: Site) -> list[Usage]:
+    return [read_usage(site.find_pid(name)) for name in site.nodes_by_name]
+
+
+def _time_edit(site: Site, tables: dict[str, Any], step: int) -> float:
+    """Give the time from the call of the client until all nodes confirm."""
+    route = {**tables['routes']['quotes'], 'deadline_s': 30 + step}
+    begun_s = time.monotonic()
+    site.apply_tables({**tables, 'routes': {'quotes': route}})
+    wait_until(lambda: _is_in_force(site), 10, 'in force')
+    return time.monotonic() - begun_s
+
+
+def _is_in_force(site: Site) -> bool:
+    status = site.read_status()
+    return all(
+        node['revision'] == status['revision'] for node in status['nodes']
+    )
--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/decision_bench.py
@@ -0,0 +1,106 @@
+"""Measures one decision of the core: upstream, and permission."""
+
+import random
+import time
+from collections.abc import Iterator
+
+from turmericcrank_core.cells import make_home_test, plan_n_cells
+from turmericcrank_core.requests import find_route
+from turmericcrank_core.selection import (
+    LoadBook,
+    SelectionSettings,
+    UpstreamLoad,
+    Wish,
+    build_ring,
+    make_selector,
+)
+from turmericcrank_core.tables import Pool, PoolState, Upstream, check_tables
+
+from turmericcrank_dev.experiments.results import (
+    BenchLine,
+    make_line,
+)
+from turmericcrank_dev.site_data import (
+    PoolPlan,
+    build_pool,
+    build_route,
+    build_tables,
+)
+
+__all__ = ('run_authorization', 'run_decisions')
+
+_US = 1e6
+_N_DECISIONS = 20000
+_POOL_SIZES = (64, 512, 3500)
+
+
+def run_decisions() -> Iterator[BenchLine]:
+    """Measure one choice of an upstream against the size of the pool."""
+    figures = []
+    for n_upstreams in _POOL_SIZES:
+        figures.append(_time_decision(n_upstreams))
+        yield make_line(
+            f'decision.{n_upstreams}_upstreams',
+            figures[-1],
+            'us',
+            baseline=figures[0],
+            at_most=100,
+        )
+
+
+def run_authorization() -> Iterator[BenchLine]:
+    """Measure what deciding on a team's permission costs from the tables.
+
+    Every node holds the tables, so every request is decided by a look-up,
+    and no answer is left for an inference to add.
+    """
+    pool = build_pool(PoolPlan('m', '1', {'u': 1}))
+    teams = [f'team {number}' for number in range(10)]
+    raw = build_tables(
+        {
+            f'route {number}': build_route('model', teams, ['pool'])
+            for number in range(60)
+        },
+        {'pool': pool},
+    )
+    tables = check_tables(raw).ok
+    begun_s = time.perf_counter()
+    n_decided = 0
+    for number in range(_N_DECISIONS):
+        found = find_route(tables, f'route {number % 60}', 'team 3')
+        n_decided += found.is_ok()
+    took_s = time.perf_counter() - begun_s
+    yield make_line('authorization.lookup', took_s / _N_DECISIONS * _US, 'us')
+    yield make_line(
+        'authorization.decided_from_tables', n_decided / _N_DECISIONS, 'share'
+    )
+
+
+def _time_decision(n_upstreams: int) -> float:
+    upstreams = {
+        f'u{index}': Upstream(f'u{index}', 'x:1', 'dc1')
+        for index in range(n_upstreams)
+    }
+    pool = Pool(
+        'p',
+        'm',
+        '1',
+        upstreams,
+        0,
+        0,
+        8,
+        PoolState.active,
+        checks_fencing=True,
+        generation=1,
+    )
+    source = random.Random(1)
+    n_cells = plan_n_cells(490, n_upstreams)
+    ring = build_ring(pool, make_home_test('n1', n_cells))
+    loads = {
+        name: UpstreamLoad(n_own=source.randrange(8)) for name in upstreams
+    }
+    select = make_selector(LoadBook(loads), SelectionSettings(), source)
+    begun_s = time.perf_counter()
+    for number in range(_N_DECISIONS):
+        select(ring, Wish(prefix_key=f'prefix {number}'), 0)
+    return (time.perf_counter() - begun_s) / _N_DECISIONS * _US
--- a/packages/dev/src/turmericcrank_dev/demo.py
+++ b/packages/dev/src/turmericcrank_dev/demo.py
@@ -11,7 +11,8 @@
 from turmericcrank_core.billing import check_bill
 
 from turmericcrank_dev.caller import Caller, Outcome
-from turmericcrank_dev.site import Site, wait_until
+from turmericcrank_dev.processes import wait_until
+from turmericcrank_dev.site import Site
 from turmericcrank_dev.site_data import (
     TEAM_KEYS,
     PoolPlan,
--- a/packages/dev/src/turmericcrank_dev/engine.py
+++ b/packages/dev/src/turmericcrank_dev/engine.py
@@ -23,14 +23,12 @@
 
 _SERVER_ERROR = 500
 _CONFLICT = 409
-_NOT_FOUND = 404
 _DEFAULT_TOKENS = 12
 _PREFIX_CHARS = 64
 _SLOW_FACTOR = 20
 _POOR_QUALITY = 20
 _CRASH_STATUS = 3
 _MISS_TOKENS = 4
-_MAX_KEPT_STREAMS = 512
 
 
 def make_engine_app(state: EngineState) -> QuartTrio:
@@ -104,7 +102,6 @@
         stream_id = request.headers.get('X-Request-Id') or uuid.uuid4().hex
         n_done = int(request.headers.get('X-Resume-After', 0))
         tokens = _plan_tokens(state, asked)
-        _keep_stream(state, stream_id, tokens)
         hit = touch_prefix(state, prompt[:_PREFIX_CHARS])
         body = _iter_events(
             state, limiter, _Work(asked, tokens, hit, n_done, stream_id)
@@ -136,12 +133,6 @@
         self.stream_id = stream_id
 
 
-def _keep_stream(state: EngineState, stream_id: str, tokens: list[str]) -> None:
-    state.streams_by_id[stream_id] = tokens
-    while len(state.streams_by_id) > _MAX_KEPT_STREAMS:
-        state.streams_by_id.pop(next(iter(state.streams_by_id)))
-
-
 async def _iter_events(
     state: EngineState, limiter: trio.CapacityLimiter, work: _Work
 ) -> AsyncIterator[bytes]:
--- a/packages/dev/src/turmericcrank_dev/engine_state.py
+++ b/packages/dev/src/turmericcrank_dev/engine_state.py
@@ -40,7 +40,6 @@
         fence: Highest fencing number seen.
         prefixes_by_hash: Cached prompt prefixes, oldest first.
         orders: Orders that were obeyed, in order.
-        streams_by_id: Tokens of recent streams, by request.
         instance: Unique name of this start of the process.
     """
 
@@ -59,7 +58,6 @@
     )
     orders: list[dict[str, object]] = field(default_factory=list)
     instance: str = field(default_factory=lambda: uuid.uuid4().hex)
-    streams_by_id: dict[str, list[str]] = field(default_factory=dict)
 
 
 def touch_prefix(state: EngineState, prefix: str) -> bool:
--- a/packages/dev/src/turmericcrank_dev/experiments/cost.py
+++ b/packages/dev/src/turmericcrank_dev/experiments/cost.py
@@ -27,7 +27,6 @@
 
 __all__ = ('run_cost',)
 
-TUNING_SEEDS = range(8)
 KEPT_ASIDE_SEEDS = range(100, 112)
 _N_REQUESTS = 12000
 _TARGET = 80
--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/processes.py
@@ -0,0 +1,38 @@
+"""Finds ports for processes and waits for what they do."""
+
+import random
+import socket
+import time
+from collections.abc import Callable
+
+__all__ = ('find_port', 'wait_until')
+
+_POLL_S = 0.05
+_LOWEST_PORT = 12000
+_HIGHEST_PORT = 32000
+
+
+def find_port() -> int:
+    """Find a TCP port that is free now, below those of outgoing calls."""
+    while True:
+        port = random.randrange(_LOWEST_PORT, _HIGHEST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        return port
+
+
+def wait_until(is_done: Callable[[], bool], limit_s: float, what: str) -> None:
+    """Wait until something holds.
+
+    Raises:
+        TimeoutError: When it does not hold in time.
+    """
+    limit = time.monotonic() + limit_s
+    while time.monotonic() < limit:
+        if is_done():
+            return
+        time.sleep(_POLL_S)
+    raise TimeoutError(what)
--- a/packages/dev/src/turmericcrank_dev/site.py
+++ b/packages/dev/src/turmericcrank_dev/site.py
@@ -3,19 +3,17 @@
 import contextlib
 import json
 import pathlib
-import random
 import signal
-import socket
 import ssl
 import subprocess
 import sys
 import tempfile
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 import httpx
 
+from turmericcrank_dev.processes import find_port, wait_until
 from turmericcrank_dev.site_data import (
     OPERATOR_KEY,
     NodePorts,
@@ -24,40 +22,11 @@
     build_tls_settings,
 )
 
-__all__ = ('Site', 'find_port', 'wait_until')
+__all__ = ('Site',)
 
 _START_LIMIT_S = 20
-_POLL_S = 0.05
 _STOP_LIMIT_S = 15
 _CALL_S = 5
-_LOWEST_PORT = 12000
-_HIGHEST_PORT = 32000
-
-
-def find_port() -> int:
-    """Find a TCP port that is free now, below those of outgoing calls."""
-    while True:
-        port = random.randrange(_LOWEST_PORT, _HIGHEST_PORT)
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        return port
-
-
-def wait_until(is_done: Callable[[], bool], limit_s: float, what: str) -> None:
-    """Wait until something holds.
-
-    Raises:
-        TimeoutError: When it does not hold in time.
-    """
-    limit = time.monotonic() + limit_s
-    while time.monotonic() < limit:
-        if is_done():
-            return
-        time.sleep(_POLL_S)
-    raise TimeoutError(what)
 
 
 class Site:
@@ -131,16 +100,6 @@
         )
         self.list_node(name, 'live')
 
-    def cut_node(self, name: str) -> None:
-        """Cut a node off from the platform; peers can't reach it either."""
-        self.signal(f'{name}-platform', signal.SIGUSR1)
-        self.signal(f'{name}-peer', signal.SIGUSR1)
-
-    def heal_node(self, name: str) -> None:
-        """Heal the cuts of a node."""
-        self.signal(f'{name}-platform', signal.SIGUSR2)
-        self.signal(f'{name}-peer', signal.SIGUSR2)
-
     def start_node(self, name: str, **changed: Any) -> None:
         """Start a node that was added."""
         ports = self.nodes_by_name[name]
--- a/packages/dev/src/turmericcrank_dev/site_data.py
+++ b/packages/dev/src/turmericcrank_dev/site_data.py
@@ -15,6 +15,7 @@
     'build_route',
     'build_tables',
     'build_tls_settings',
+    'hash_key',
 )
 
 OPERATOR_KEY = 'operator-key'
--- a/packages/node/src/turmericcrank_node/app.py
+++ b/packages/node/src/turmericcrank_node/app.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import orjson
+import trio
 from expression import Error, Result
 from quart import Response, request
 from quart_trio import QuartTrio
@@ -46,7 +47,8 @@
 
 Answer = Callable[[Caller, bytes, Place], Awaitable[Result[Reply, Refusal]]]
 
-_READ_PATHS_METHODS = ('GET', 'POST', 'PUT', 'DELETE')
+_SERVICE_METHODS = ('GET', 'POST', 'PUT', 'DELETE')
+_MS = 1000
 
 
 def make_app(ctx: NodeContext) -> QuartTrio:
@@ -92,7 +94,7 @@
 
         return await _take_request(ctx, answer)
 
-    @app.route('/services/<name>/<path:path>', methods=_READ_PATHS_METHODS)
+    @app.route('/services/<name>/<path:path>', methods=_SERVICE_METHODS)
     async def call_service(name: str, path: str) -> Response:
         async def answer(
             caller: Caller, body: bytes, _place: Place
@@ -184,6 +186,7 @@
 
 async def _take_request(ctx: NodeContext, answer: Answer) -> Response:
     """Take one request through the door, answer it, and log its end."""
+    begun_s = trio.current_time()
     caller = check_caller(ctx)
     body = await read_body(ctx)
     request_id = caller.ok.request_id if caller.is_ok() else ''
@@ -199,6 +202,8 @@
             path=request.path,
         )
         outcome = await _answer_in_place(ctx, answer, caller.ok, body.ok)
+    ctx.metrics.time_ms('answer_begun', (trio.current_time() - begun_s) * _MS)
+    ctx.metrics.gauge('requests_in_progress', ctx.n_running)
     if outcome.is_ok():
         return _to_response(outcome.ok, request_id)
     refusal = outcome.error
--- a/packages/node/src/turmericcrank_node/node.py
+++ b/packages/node/src/turmericcrank_node/node.py
@@ -10,7 +10,7 @@
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
-from turmericcrank_core.addressing import plan_stop_times
+from turmericcrank_core.addressing import plan_refuse_s
 from turmericcrank_core.billing import BatchBook
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.selection import SelectionSettings, make_selector
@@ -166,13 +166,13 @@
     """Leave the answers, wait for kept ones, refuse, and end."""
     ctx.log.write(EventCode.drain_started, hurried=False)
     ctx.leaving = True
-    times = plan_stop_times(
+    refuse_s = plan_refuse_s(
         trio.current_time(),
         ctx.settings.keep_s,
         ctx.settings.settle_s,
         hurried=False,
     )
-    while trio.current_time() < times.refuse_s and not ctx.refusing:
+    while trio.current_time() < refuse_s and not ctx.refusing:
         await trio.sleep(_DRAIN_PAUSE_S)
     ctx.log.write(EventCode.drain_left_addresses)
     ctx.refusing = True
--- a/packages/node/src/turmericcrank_node/replies.py
+++ b/packages/node/src/turmericcrank_node/replies.py
@@ -19,7 +19,6 @@
 )
 
 _JSON = 'application/json'
-_EVENTS = 'text/event-stream'
 
 
 @dataclass(slots=True)
--- a/packages/node/src/turmericcrank_node/store.py
+++ b/packages/node/src/turmericcrank_node/store.py
@@ -17,7 +17,6 @@
 _NOT_FOUND = 404
 _TOO_MANY = 429
 
-ABSENT = 0
 ANY_VERSION = -1
 
 
--- a/packages/node/src/turmericcrank_node/stream_reader.py
+++ b/packages/node/src/turmericcrank_node/stream_reader.py
@@ -29,7 +29,6 @@
 
     __slots__ = (
         '_arrived',
-        '_deadline_s',
         '_error',
         '_is_over',
         '_response',
@@ -40,7 +39,6 @@
 
     def __init__(self, response: httpx.Response, deadline_s: float) -> None:
         self._response = response
-        self._deadline_s = deadline_s
         self._scope = trio.CancelScope(deadline=deadline_s)
         self._waiting = bytearray()
         self._arrived = trio.Event()
--- a/tests/core/test_events.py
+++ b/tests/core/test_events.py
@@ -8,7 +8,7 @@
 from turmericcrank_core.addressing import (
     EntryNode,
     plan_addresses,
-    plan_stop_times,
+    plan_refuse_s,
 )
 from turmericcrank_core.hybrid_clock import (
     ClockState,
@@ -89,7 +89,5 @@
 
 
 def test_a_planned_stop_waits_for_kept_answers_and_a_hurried_one_does_not():
-    calm = plan_stop_times(100, keep_s=5, settle_s=3, hurried=False)
-    assert calm.refuse_s == 108
-    hurried = plan_stop_times(100, keep_s=5, settle_s=3, hurried=True)
-    assert hurried.refuse_s == 100
+    assert plan_refuse_s(100, keep_s=5, settle_s=3, hurried=False) == 108
+    assert plan_refuse_s(100, keep_s=5, settle_s=3, hurried=True) == 100
--- a/tests/site/test_calls.py
+++ b/tests/site/test_calls.py
@@ -7,8 +7,8 @@
 import httpx
 import openai
 import pytest
-from turmericcrank_dev.site import wait_until
-from turmericcrank_dev.site_data import TEAM_KEYS
+from turmericcrank_dev.processes import wait_until
+from turmericcrank_dev.site_data import TEAM_KEYS, hash_key
 
 from tests.site.helpers import (
     LIMIT_S,
@@ -232,3 +232,18 @@
     bills = [bill for bill in list_bills(site) if draft_id in bill.bill_id]
     assert len(bills) == 1
     assert ask(site, other).status_code == 200
+
+
+def test_a_team_over_its_rate_is_told_when_to_come_back(empty_site):
+    limited = {
+        'key_sha256': hash_key(TEAM_KEYS['planners']),
+        'rate_per_s': 0.05,
+        'burst': 1,
+    }
+    empty_site.start_back_ends()
+    empty_site.start_nodes(['n1'], teams={'planners': limited})
+    assert ask(empty_site, 'n1').status_code == 200
+    refused = ask(empty_site, 'n1')
+    assert refused.status_code == 429
+    assert int(refused.headers['Retry-After']) > 1
+    assert refused.json()['error']['ran'] == 'not run'
--- a/tests/site/test_cuts.py
+++ b/tests/site/test_cuts.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from turmericcrank_dev.site import wait_until
+from turmericcrank_dev.processes import wait_until
 
 from tests.site.helpers import (
     LIMIT_S,
--- a/tests/site/test_tls.py
+++ b/tests/site/test_tls.py
@@ -3,7 +3,7 @@
 import httpx
 import pytest
 import trustme
-from turmericcrank_dev.site import wait_until
+from turmericcrank_dev.processes import wait_until
 from turmericcrank_dev.site_data import TEAM_KEYS
 
 from tests.site.conftest import TestSite
--- a/tests/site/test_upstreams.py
+++ b/tests/site/test_upstreams.py
@@ -3,7 +3,7 @@
 import threading
 
 import pytest
-from turmericcrank_dev.site import wait_until
+from turmericcrank_dev.processes import wait_until
 
 from tests.site.helpers import (
     LIMIT_S,
