Let a planned stop wait for drafts and for bookings without a caller

Cause: found by reading. A stop counted only requests with a caller, so it cut a draft in progress, and a booking whose caller had gone away. Ruled out: the lease alone; it saves the draft but runs it twice. Change: work that goes on without a caller is counted as running. Before: with the line broken the test sees a second node take the draft. After: the runner ends its draft, exits 0, and the draft is billed once. Conclusion: what is in progress must be counted where it runs.

--- a/packages/dev/src/turmericcrank_dev/broken_variants.py
+++ b/packages/dev/src/turmericcrank_dev/broken_variants.py
@@ -170,6 +170,14 @@
         'tests/site/test_cuts.py::'
         'test_a_stream_in_progress_outlasts_a_hurried_stop',
     ),
+    Variant(
+        'a stop does not wait for a draft',
+        f'{_NODE}/draft_desk.py',
+        '        with keep_running(run.ctx):',
+        '        if run:',
+        'tests/site/test_calls.py::'
+        'test_a_planned_stop_ends_the_draft_that_it_runs',
+    ),
     Variant(
         'older tables are adopted',
         f'{_CORE}/revisions.py',
--- a/packages/node/src/turmericcrank_node/draft_desk.py
+++ b/packages/node/src/turmericcrank_node/draft_desk.py
@@ -30,7 +30,7 @@
 from turmericcrank_core.requests import ModelRequest, check_model_request
 
 from turmericcrank_node.context import NodeContext
-from turmericcrank_node.gate import Caller, check_standing
+from turmericcrank_node.gate import Caller, check_standing, keep_running
 from turmericcrank_node.model_desk import WholeAnswer, answer_whole
 from turmericcrank_node.model_plan import plan_call
 from turmericcrank_node.store import Operation, StoredRow
@@ -219,24 +219,28 @@
 
 
 async def _run_and_forget(runner: DraftRunner, run: DraftRun) -> None:
-    ctx = run.ctx
     try:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(run.renew)
-            outcome = await _run_draft(ctx, run)
-            nursery.cancel_scope.cancel()
-        failures = runner.failures_by_id.get(run.draft_id, 0)
-        if outcome.is_ok():
-            await _finish(run, outcome.ok)
-        elif outcome.error.code in _FINAL_CODES or failures > _MAX_FAILURES:
-            await _finish_failed(run, outcome.error)
-        else:
-            runner.failures_by_id[run.draft_id] = failures + 1
-            await _give_back(run)
+        with keep_running(run.ctx):
+            await _run_to_end(runner, run)
     finally:
         runner.running.discard(run.draft_id)
 
 
+async def _run_to_end(runner: DraftRunner, run: DraftRun) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run.renew)
+        outcome = await _run_draft(run.ctx, run)
+        nursery.cancel_scope.cancel()
+    failures = runner.failures_by_id.get(run.draft_id, 0)
+    if outcome.is_ok():
+        await _finish(run, outcome.ok)
+    elif outcome.error.code in _FINAL_CODES or failures > _MAX_FAILURES:
+        await _finish_failed(run, outcome.error)
+    else:
+        runner.failures_by_id[run.draft_id] = failures + 1
+        await _give_back(run)
+
+
 async def _run_draft(
     ctx: NodeContext, run: DraftRun
 ) -> Result[WholeAnswer, Refusal]:
--- a/packages/node/src/turmericcrank_node/gate.py
+++ b/packages/node/src/turmericcrank_node/gate.py
@@ -1,7 +1,9 @@
 """Decides at the door whether a request is looked at any further."""
 
+import contextlib
 import hashlib
 import uuid
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import trio
@@ -22,6 +24,7 @@
     'check_operator',
     'check_standing',
     'hold_place',
+    'keep_running',
     'read_body',
 )
 
@@ -94,6 +97,20 @@
     return Ok(None)
 
 
+@contextlib.contextmanager
+def keep_running(ctx: NodeContext) -> Iterator[None]:
+    """Count work that goes on without a caller, so that a stop waits for it.
+
+    Args:
+        ctx: The node.
+    """
+    ctx.n_running += 1
+    try:
+        yield
+    finally:
+        ctx.n_running -= 1
+
+
 class Place:
     """A place of a team among the requests in progress.
 
--- a/packages/node/src/turmericcrank_node/service_desk.py
+++ b/packages/node/src/turmericcrank_node/service_desk.py
@@ -39,7 +39,7 @@
     find_budget,
     start_dispatch,
 )
-from turmericcrank_node.gate import Caller
+from turmericcrank_node.gate import Caller, keep_running
 from turmericcrank_node.replies import Reply
 from turmericcrank_node.upstream_calls import (
     Answered,
@@ -161,7 +161,8 @@
     sender: Any,
 ) -> None:
     """Send a claimed call to its end, even when its caller goes away."""
-    sender.send_nowait(await _send_claimed(ctx, call, ring, won))
+    with keep_running(ctx):
+        sender.send_nowait(await _send_claimed(ctx, call, ring, won))
 
 
 async def _send_claimed(
