Give no port of a test site twice

Cause: make bench in one go ended after 2:27 at 8 nodes with 'address already in use'; ports were drawn at random, and 16 draws may meet. Ruled out: outgoing calls (their range begins at 32768). Change: ports come from a shuffled list, each once in a process.

--- a/packages/dev/src/turmericcrank_dev/processes.py
+++ b/packages/dev/src/turmericcrank_dev/processes.py
@@ -10,12 +10,13 @@
 _POLL_S = 0.05
 _LOWEST_PORT = 12000
 _HIGHEST_PORT = 32000
+_PORTS = iter(random.sample(range(_LOWEST_PORT, _HIGHEST_PORT), 10000))
 
 
 def find_port() -> int:
-    """Find a TCP port that is free now, below those of outgoing calls."""
+    """Find a TCP port that is free now and was not given before."""
     while True:
-        port = random.randrange(_LOWEST_PORT, _HIGHEST_PORT)
+        port = next(_PORTS)
         with socket.socket() as probe:
             try:
                 probe.bind(('127.0.0.1', port))
