--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -15,6 +15,8 @@
     drain_started = 102
     drain_left_addresses = 103
     node_stopped = 104
+    settings_reloaded = 105
+    lines_left_out = 106
     request_received = 200
     request_sent = 201
     request_answered = 202
@@ -24,6 +26,9 @@
     upstream_failed = 206
     request_poisoned = 207
     stream_resumed = 208
+    attempt_failed = 209
+    answer_doubted = 210
+    stream_broken = 211
     claim_won = 300
     claim_conflict = 301
     claim_undecided = 302
@@ -39,6 +44,11 @@
     upstream_leaving = 602
     store_lost = 603
     store_found = 604
+    store_history_lost = 605
+    member_heard = 606
+    news_not_sent = 607
+    upstream_listed = 608
+    upstream_missing = 609
     draft_kept = 700
     draft_taken = 701
     draft_finished = 702
@@ -46,4 +56,5 @@
     rollout_stopped = 801
     order_given = 802
     order_refused = 803
+    rollout_heard = 804
     internal_fault = 900
--- /dev/null
+++ b/packages/core/src/turmericcrank_core/proofs.py
@@ -0,0 +1,111 @@
+"""Knows how old the newest proof is that a table in use is in force.
+
+The platform's store is linearizable, so a reading proves that the copy was
+current when the reading was sent. A peer's proof counts too: when its last
+change is not newer than what this node has read, nothing has changed up to
+the peer's reading. Ages are measured on a clock that goes on while a
+process is suspended, and a peer's age counts from the moment at which this
+node asked, so a message that waited in a buffer proves nothing new.
+"""
+
+from dataclasses import dataclass
+
+__all__ = (
+    'PeerProof',
+    'TableProof',
+    'is_behind',
+    'note_peer_proof',
+    'note_reading',
+    'plan_read_age_s',
+    'proof_age_s',
+)
+
+_FIRST_AGE_S = 1.1
+_AGE_STEP_S = 0.1
+_MAX_STEPS = 8
+
+
+@dataclass(slots=True, frozen=True)
+class PeerProof:
+    """What a peer says of its copy of one table.
+
+    Attributes:
+        change: Version of the last change that it has applied.
+        proven_s: When its copy was current at the latest known moment, on
+            this node's clock, in seconds.
+    """
+
+    change: int
+    proven_s: float
+
+
+@dataclass(slots=True)
+class TableProof:
+    """What one node knows of its copy of one table.
+
+    Attributes:
+        read_version: The copy is complete up to this version of the store.
+        change: Version of the last change that it holds.
+        proven_s: Latest moment at which the copy is known to be current;
+            None before the first reading.
+        told_change: Newest change that a peer has told of.
+    """
+
+    read_version: int = -1
+    change: int = 0
+    proven_s: float | None = None
+    told_change: int = 0
+
+
+def note_reading(
+    proof: TableProof, version: int, change: int, read_s: float
+) -> None:
+    """Note a reading of the store.
+
+    Args:
+        proof: Changed in place.
+        version: Version up to which the copy is complete now.
+        change: Version of the last change of the table, 0 for none.
+        read_s: When the reading was sent, in seconds.
+    """
+    proof.read_version = max(proof.read_version, version)
+    proof.change = max(proof.change, change)
+    _advance(proof, read_s)
+
+
+def note_peer_proof(proof: TableProof, peer: PeerProof) -> None:
+    """Note what a peer has told of the same table."""
+    proof.told_change = max(proof.told_change, peer.change)
+    if peer.change <= proof.read_version:
+        _advance(proof, peer.proven_s)
+
+
+def is_behind(proof: TableProof) -> bool:
+    """Tell whether a peer knows of a change that this copy lacks."""
+    return proof.told_change > proof.read_version
+
+
+def proof_age_s(proof: TableProof, now_s: float) -> float:
+    """Give the age of the newest proof in seconds; infinite without one."""
+    if proof.proven_s is None:
+        return float('inf')
+    return now_s - proof.proven_s
+
+
+def plan_read_age_s(rank: int) -> float:
+    """Plan the age of a proof at which a node reads the store itself.
+
+    Nodes wait longer the higher their rank, so that one reading, told to
+    the others, is enough for all. Rank 0 always reads.
+
+    Args:
+        rank: Place of the node among those that it hears, from 0.
+    """
+    if rank == 0:
+        return 0
+    return _FIRST_AGE_S + _AGE_STEP_S * min(rank, _MAX_STEPS)
+
+
+def _advance(proof: TableProof, proven_s: float) -> None:
+    if proof.proven_s is None or proven_s > proof.proven_s:
+        proof.proven_s = proven_s
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/control/__init__.py
@@ -0,0 +1,1 @@
+"""Moves roll-outs."""
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/control/rollout_control.py
@@ -0,0 +1,156 @@
+"""Moves roll-outs through their phases in the platform's store.
+
+Any node may move one; the one with the lowest rank tries first, and the
+condition on the row lets one of them win. A node that starts in the middle
+reads the row before it sends the new version anything.
+"""
+
+from dataclasses import dataclass, field
+
+import trio
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.membership import plan_rank
+from turmericcrank_core.rollout_phases import (
+    RolloutPhase,
+    RolloutState,
+    merge_state,
+    plan_phase,
+)
+
+from turmericcrank_node.control.version_evidence import (
+    count_answers,
+    find_version_fault,
+)
+from turmericcrank_node.platform_port import (
+    Conflict,
+    RolloutRow,
+    StoreUnavailable,
+)
+from turmericcrank_node.state.node_state import NodeState, read_boot_s
+
+__all__ = ('serve_rollouts',)
+
+_PACE_S = 0.1
+_RETRY_S = 0.3
+_RANK_DELAY_S = 0.5
+_MAX_DELAY_RANK = 4
+_MS = 1000
+
+
+@dataclass(slots=True)
+class _Wish:
+    """A change that this node would make, and since when."""
+
+    phase: RolloutPhase
+    since_s: float
+
+
+@dataclass(slots=True)
+class RolloutControl:
+    """What the task remembers.
+
+    Attributes:
+        wishes_by_service: Changes that are due.
+        tried_s_by_service: When the store was last asked, in seconds.
+    """
+
+    wishes_by_service: dict[str, _Wish] = field(default_factory=dict)
+    tried_s_by_service: dict[str, float] = field(default_factory=dict)
+
+
+async def serve_rollouts(state: NodeState) -> None:
+    """Move the roll-outs for ever."""
+    control = RolloutControl()
+    while True:
+        await trio.sleep(_PACE_S)
+        for rollout in list(state.rollouts_by_service.values()):
+            if not rollout.phase.is_final:
+                await _look_at(state, control, rollout)
+
+
+async def _look_at(
+    state: NodeState, control: RolloutControl, rollout: RolloutState
+) -> None:
+    order = rollout.order
+    now_s = read_boot_s()
+    fault = _find_sign(state, rollout)
+    planned = plan_phase(
+        rollout,
+        count_answers(state, order.service, order.number),
+        fault,
+        now_s,
+    )
+    if planned is None:
+        control.wishes_by_service.pop(order.service, None)
+        return
+    wish = control.wishes_by_service.get(order.service)
+    if wish is None or wish.phase is not planned:
+        wish = _Wish(planned, now_s)
+        control.wishes_by_service[order.service] = wish
+    rank = plan_rank(state.members, state.settings.node_id, now_s)
+    delay_s = _RANK_DELAY_S * min(rank, _MAX_DELAY_RANK)
+    tried_s = control.tried_s_by_service.get(order.service, 0)
+    if now_s - wish.since_s >= delay_s and now_s - tried_s >= _RETRY_S:
+        control.tried_s_by_service[order.service] = now_s
+        await _move(state, rollout, planned, fault)
+
+
+def _find_sign(state: NodeState, rollout: RolloutState) -> str:
+    """Name why a version is bad; once it is, it stays so."""
+    order = rollout.order
+    known = state.signs_by_order.get((order.service, order.number), '')
+    fault = known or find_version_fault(state, order.service, order.number)
+    if fault and not known:
+        state.signs_by_order[order.service, order.number] = fault
+        state.log.write(
+            EventCode.rollout_stopped,
+            service=order.service,
+            version=order.version,
+            sign=fault,
+            answers=count_answers(state, order.service, order.number),
+        )
+    return fault
+
+
+async def _move(
+    state: NodeState,
+    rollout: RolloutState,
+    planned: RolloutPhase,
+    fault: str,
+) -> None:
+    order = rollout.order
+    store = state.platform.store
+    row = await store.read_rollout(order.service)
+    if isinstance(row, StoreUnavailable):
+        return
+    is_same = row is not None and row.order.number == order.number
+    if row is not None and (is_same or row.order.number > order.number):
+        began_s = row.began_ms / _MS - state.store_offset_s
+        rollout = RolloutState(row.order, row.phase, began_s)
+        _adopt(state, rollout)
+        if row.phase >= planned or not is_same:
+            return
+    began_ms = (rollout.began_s + state.store_offset_s) * _MS
+    version = row.version if row else 0
+    written = await store.write_rollout(
+        RolloutRow(order, planned, began_ms, version)
+    )
+    if isinstance(written, (Conflict, StoreUnavailable)):
+        return
+    state.log.write(
+        EventCode.rollout_step,
+        service=order.service,
+        version=order.version,
+        phase=planned.name,
+        sign=fault,
+        answers=count_answers(state, order.service, order.number),
+        age_s=round(read_boot_s() - rollout.began_s, 2),
+    )
+    _adopt(state, RolloutState(order, planned, rollout.began_s))
+
+
+def _adopt(state: NodeState, told: RolloutState) -> None:
+    service = told.order.service
+    own = state.rollouts_by_service.get(service)
+    state.rollouts_by_service[service] = merge_state(own, told)
+    state.want_news()
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/control/version_evidence.py
@@ -0,0 +1,125 @@
+"""Counts how the versions of a service do while a roll-out is on.
+
+Every node counts what it saw and tells the others; each node adds all of
+it up, route by route, since a version may be bad on one route only.
+"""
+
+from collections.abc import Iterator, Mapping
+
+from turmericcrank_core.exposure import (
+    ExposureSettings,
+    UpstreamCounts,
+    absorb_counts,
+    find_fault,
+)
+
+from turmericcrank_node.state.evidence_book import EvidenceCounts
+from turmericcrank_node.state.node_state import NodeState
+
+__all__ = (
+    'count_answers',
+    'find_version_fault',
+    'iter_own_evidence',
+    'make_version_key',
+    'note_told_evidence',
+    'note_version_answer',
+)
+
+_SETTINGS = ExposureSettings(
+    good_error_share=0.04,
+    bad_error_share=0.3,
+    good_slow_share=0.06,
+    bad_slow_share=0.4,
+    threshold=6,
+)
+
+
+def make_version_key(service: str, number: int, route: str) -> str:
+    """Name the evidence on the new version of one order on one route."""
+    return f'{service}/{number}/{route}'
+
+
+def note_version_answer(
+    state: NodeState,
+    version_key: str,
+    upstream_id: str,
+    is_error: bool,
+    is_slow: bool,
+) -> None:
+    """Count one answer of a new version that this node saw."""
+    counts = state.evidence.own_by_key.setdefault(
+        (version_key, upstream_id), EvidenceCounts()
+    )
+    counts.n_answers += 1
+    counts.n_errors += is_error
+    counts.n_slow += is_slow and not is_error
+    added = UpstreamCounts(1, int(is_error), int(is_slow and not is_error))
+    _absorb(state, version_key, upstream_id, added)
+
+
+def note_told_evidence(
+    state: NodeState,
+    node_key: str,
+    counts_by_key: Mapping[tuple[str, str], EvidenceCounts],
+) -> None:
+    """Take the counts of another node; they only grow."""
+    told_by_key = state.evidence.told_by_node.setdefault(node_key, {})
+    for key, counts in counts_by_key.items():
+        before = told_by_key.get(key, EvidenceCounts())
+        if counts.n_answers > before.n_answers:
+            told_by_key[key] = counts
+            added = UpstreamCounts(
+                counts.n_answers - before.n_answers,
+                counts.n_errors - before.n_errors,
+                counts.n_slow - before.n_slow,
+            )
+            _absorb(state, *key, added)
+
+
+def iter_own_evidence(
+    state: NodeState,
+) -> Iterator[tuple[tuple[str, str], EvidenceCounts]]:
+    """Yield what this node saw of the roll-outs that still go on."""
+    running = tuple(
+        make_version_key(rollout.order.service, rollout.order.number, '')
+        for rollout in state.rollouts_by_service.values()
+        if not rollout.phase.is_final
+    )
+    return (
+        (key, counts)
+        for key, counts in state.evidence.own_by_key.items()
+        if key[0].startswith(running)
+    )
+
+
+def count_answers(state: NodeState, service: str, number: int) -> int:
+    """Count the answers that all nodes have seen of a new version."""
+    prefix = make_version_key(service, number, '')
+    return sum(
+        evidence.total.n_answers
+        for key, evidence in _iter_evidence(state)
+        if key.startswith(prefix)
+    )
+
+
+def find_version_fault(state: NodeState, service: str, number: int) -> str:
+    """Name the sign by which a new version is bad; empty while it is not."""
+    prefix = make_version_key(service, number, '')
+    faults = (
+        find_fault(state.evidence.pool, key, _SETTINGS)
+        for key, _evidence in _iter_evidence(state)
+        if key.startswith(prefix)
+    )
+    return next(filter(None, faults), '')
+
+
+def _iter_evidence(state: NodeState) -> Iterator[tuple[str, object]]:
+    return iter(state.evidence.pool.evidence_by_version.items())
+
+
+def _absorb(
+    state: NodeState, version_key: str, upstream_id: str, added: UpstreamCounts
+) -> None:
+    absorb_counts(
+        state.evidence.pool, version_key, upstream_id, added, None, _SETTINGS
+    )
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/membership/node_news.py
@@ -0,0 +1,79 @@
+"""The message by which nodes tell each other what they know.
+
+It is one datagram, packed with msgpack. Counts in it only grow, times are
+ages, and each message repeats what is recent, so a lost or repeated one
+does no harm.
+"""
+
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+import msgpack
+
+__all__ = ('NodeNews', 'pack_news', 'unpack_news')
+
+_FORMAT = 1
+
+
+@dataclass(slots=True, frozen=True)
+class NodeNews:
+    """What one node tells another.
+
+    Attributes:
+        node_id: Who tells.
+        incarnation: Random name of this start of it.
+        data_centre: Where it runs.
+        peer_address: Where it hears its peers.
+        client_address: Where it serves clients.
+        is_ready: Whether it takes clients.
+        sent_s: When it was sent, on the sender's clock.
+        echo_s: ``sent_s`` of the newest message from the receiver; negative
+            for none.
+        echo_held_s: How long the sender has had that message.
+        proofs: For each table that is followed: version of the last change
+            applied, and the age of the proof in seconds; negative for none.
+        running_by_id: Requests in progress, by upstream.
+        sessions: Session keys with version and age in seconds.
+        tallies: Upstream, answers and bad answers since the start.
+        evidence: Version key, upstream, answers, errors and slow answers
+            since the start.
+        rollouts: Service, version, seconds, number of the order, phase and
+            age of the order in seconds.
+    """
+
+    node_id: str
+    incarnation: str
+    data_centre: str
+    peer_address: str
+    client_address: str
+    is_ready: bool
+    sent_s: float
+    echo_s: float
+    echo_held_s: float
+    proofs: list[Any] = field(default_factory=list)
+    running_by_id: dict[str, int] = field(default_factory=dict)
+    sessions: list[Any] = field(default_factory=list)
+    tallies: list[Any] = field(default_factory=list)
+    evidence: list[Any] = field(default_factory=list)
+    rollouts: list[Any] = field(default_factory=list)
+
+
+_NAMES = tuple(part.name for part in fields(NodeNews))
+
+
+def pack_news(news: NodeNews) -> bytes:
+    """Pack one message."""
+    parts = [getattr(news, name) for name in _NAMES]
+    return bytes(msgpack.packb([_FORMAT, *parts]))
+
+
+def unpack_news(raw: bytes) -> NodeNews | None:
+    """Build a message from its bytes; None when it is not one."""
+    try:
+        unpacked = msgpack.unpackb(raw)
+    except (ValueError, msgpack.UnpackException):
+        return None
+    if not isinstance(unpacked, list) or len(unpacked) != len(_NAMES) + 1:
+        return None
+    number, *parts = unpacked
+    return NodeNews(*parts) if number == _FORMAT else None
--- a/packages/node/src/turmericcrank_node/metrics.py
+++ b/packages/node/src/turmericcrank_node/metrics.py
@@ -4,8 +4,7 @@
 from dataclasses import dataclass
 
 import statsd
-
-from turmericcrank_node.settings import split_address
+from turmericcrank_core.network_address import split_address
 
 __all__ = ('Metrics', 'make_metrics')
 
--- a/packages/node/src/turmericcrank_node/peer_server.py
+++ b/packages/node/src/turmericcrank_node/peer_server.py
@@ -6,6 +6,7 @@
 import trio
 from turmericcrank_core.billing import check_bill
 from turmericcrank_core.hybrid_clock import check_stamp
+from turmericcrank_core.network_address import split_address
 from turmericcrank_core.revisions import hear_revision
 from turmericcrank_core.selection import note_told
 from turmericcrank_core.suspects import CrashRecord
@@ -20,7 +21,6 @@
     prove_as_server,
 )
 from turmericcrank_node.sampling import describe_self, pull_patches
-from turmericcrank_node.settings import split_address
 from turmericcrank_node.suspects_desk import note_crash
 from turmericcrank_node.tables_desk import write_patch
 from turmericcrank_node.vm_list import dump_vms
--- a/packages/node/src/turmericcrank_node/peers.py
+++ b/packages/node/src/turmericcrank_node/peers.py
@@ -11,6 +11,7 @@
 
 import trio
 from expression import Error, Ok, Result
+from turmericcrank_core.network_address import split_address
 
 from turmericcrank_node.context import NodeContext, VmRow
 from turmericcrank_node.peer_stream import (
@@ -18,7 +19,6 @@
     PeerStreamError,
     prove_as_client,
 )
-from turmericcrank_node.settings import split_address
 
 __all__ = ('PeerLinks', 'make_asker')
 
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -0,0 +1,134 @@
+"""Puts the tasks of one node together, and stops them in order."""
+
+import random
+import signal
+import uuid
+from functools import partial
+
+import trio
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.network_address import split_address
+
+from turmericcrank_node.control.rollout_control import serve_rollouts
+from turmericcrank_node.event_log import EventLog, serve_log
+from turmericcrank_node.membership.peer_news import serve_peer_news
+from turmericcrank_node.platform_port import Platform, RouterSettings
+from turmericcrank_node.serving.client_connection import (
+    ConnectionPolicy,
+    serve_client_connection,
+)
+from turmericcrank_node.serving.information import (
+    answer_address_question,
+    answer_health_question,
+)
+from turmericcrank_node.serving.router import answer_request
+from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.state.table_watch import serve_table_watch
+
+__all__ = ('make_state', 'run_router_node')
+
+_BACKLOG = 1024
+_REFUSE_AFTER_S = 2.9
+_LAST_MARGIN_S = 0.4
+_LOOK_PAUSE_S = 0.05
+
+
+def make_state(settings: RouterSettings, platform: Platform) -> NodeState:
+    """Make the state of a node that knows nothing yet."""
+    return NodeState(
+        settings=settings,
+        platform=platform,
+        log=EventLog(settings.node_id, '-'),
+        incarnation=uuid.uuid4().hex,
+        random_source=random.Random(),
+    )
+
+
+async def run_router_node(settings: RouterSettings, platform: Platform) -> None:
+    """Run one node until it is told to stop.
+
+    Args:
+        settings: Checked settings.
+        platform: The adapter's translations.
+    """
+    state = make_state(settings, platform)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_log, state.log)
+        state.log.write(EventCode.node_started, incarnation=state.incarnation)
+        for task in (serve_table_watch, serve_peer_news, serve_rollouts):
+            nursery.start_soon(task, state)
+        for address, handle in (
+            (settings.addresses.client, answer_request),
+            (settings.addresses.health, answer_health_question),
+            (settings.addresses.directory, answer_address_question),
+        ):
+            if address:
+                nursery.start_soon(_serve_clients, state, address, handle)
+        await _wait_for_stop(state)
+        nursery.cancel_scope.cancel()
+    state.log.write(EventCode.node_stopped, n_requests=state.n_requests)
+    state.log.flush()
+
+
+async def _serve_clients(
+    state: NodeState, address: str, handle: partial
+) -> None:
+    """Listen at one address and serve each connection in its own task."""
+    host, port = split_address(address)
+    policy = ConnectionPolicy(
+        partial(handle, state),
+        lambda: state.limits,
+        lambda: state.is_stopping,
+        state.closing,
+    )
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(
+            port, host=host, backlog=_BACKLOG
+        )
+        await trio.serve_listeners(
+            partial(_serve_one, state, policy),
+            listeners,
+            handler_nursery=nursery,
+        )
+
+
+async def _serve_one(
+    state: NodeState, policy: ConnectionPolicy, stream: trio.SocketStream
+) -> None:
+    """Serve one connection; a fault in it ends no other one."""
+    try:
+        await serve_client_connection(policy, stream)
+    except Exception as error:
+        state.log.write(EventCode.internal_fault, detail=repr(error))
+        stream.socket.close()
+
+
+async def _wait_for_stop(state: NodeState) -> None:
+    with trio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                break
+            state.log.write(EventCode.settings_reloaded, changed=False)
+    await _drain(state)
+
+
+async def _drain(state: NodeState) -> None:
+    """Leave the addresses, serve who still comes, refuse, and end."""
+    state.is_stopping = True
+    state.want_news()
+    state.log.write(EventCode.drain_started, n_requests=state.n_requests)
+    stopped_s = trio.current_time()
+    await trio.sleep(_REFUSE_AFTER_S)
+    state.is_refusing = True
+    state.closing.set()
+    state.log.write(EventCode.drain_left_addresses, n_requests=state.n_requests)
+    ends_s = stopped_s + state.settings.bounds.grace_s - _LAST_MARGIN_S
+    idle_since_s = trio.current_time()
+    while trio.current_time() < ends_s:
+        await trio.sleep(_LOOK_PAUSE_S)
+        if state.n_requests:
+            idle_since_s = trio.current_time()
+        elif trio.current_time() - idle_since_s > 1:
+            break
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serves clients: connections, requests, streams, addresses."""
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/serving/information.py
@@ -0,0 +1,55 @@
+"""Answers the two questions that are asked of a node itself.
+
+Clients ask which addresses to use; the platform asks whether this node
+takes clients.
+"""
+
+from turmericcrank_core.codes import CODES, ResultCode
+from turmericcrank_core.membership import list_client_addresses
+
+from turmericcrank_node.serving.client_connection import (
+    ClientExchange,
+    ClientRequest,
+)
+from turmericcrank_node.state.node_state import (
+    NodeState,
+    describe_self,
+    read_boot_s,
+)
+
+__all__ = ('answer_address_question', 'answer_health_question')
+
+_KEEP_S = 1
+_JSON = (b'content-type', b'application/json')
+
+
+async def answer_address_question(
+    state: NodeState, request: ClientRequest, exchange: ClientExchange
+) -> None:
+    """Tell a client where to connect, and for how long to keep that."""
+    data_centre = state.platform.decode_address_question(request)
+    if data_centre is None:
+        await _answer_unknown(exchange)
+        return
+    addresses = list_client_addresses(
+        state.members, describe_self(state), data_centre, read_boot_s()
+    )
+    keep_s = min(_KEEP_S, state.settings.bounds.keep_s)
+    body = state.platform.encode_addresses(addresses, keep_s)
+    await exchange.answer(200, [_JSON], body)
+
+
+async def answer_health_question(
+    state: NodeState, request: ClientRequest, exchange: ClientExchange
+) -> None:
+    """Tell the platform whether this node takes clients."""
+    if not state.platform.is_health_question(request):
+        await _answer_unknown(exchange)
+        return
+    status = 200 if state.is_ready else 503
+    await exchange.answer(status, [], b'')
+
+
+async def _answer_unknown(exchange: ClientExchange) -> None:
+    info = CODES[ResultCode.unknown_route]
+    await exchange.answer(info.http_status, [], info.text.encode())
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/serving/plain_call.py
@@ -0,0 +1,202 @@
+"""Answers one call of a plain service with a whole response."""
+
+from dataclasses import dataclass
+
+import trio
+from turmericcrank_core.codes import ResultCode
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.upstream_rows import ListedUpstream
+
+from turmericcrank_node.http_wire import Headers, ReadFault, read_body
+from turmericcrank_node.platform_port import Sending
+from turmericcrank_node.serving.client_connection import ClientExchange
+from turmericcrank_node.serving.work import (
+    Work,
+    begin_attempt,
+    end_attempt,
+    judge_attempt,
+    may_retry,
+    refuse,
+    time_left_s,
+)
+from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.upstreams.attempt import (
+    AttemptFault,
+    FaultKind,
+    open_attempt,
+)
+
+__all__ = ('answer_plain_call',)
+
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_SERVER_ERROR = 500
+_MAX_SENDINGS = 4
+_COME_BACK_S = 0.15
+_FIRST_TRY_SHARE = 0.45
+
+
+@dataclass(slots=True, frozen=True)
+class _Whole:
+    """A whole response."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+async def answer_plain_call(
+    state: NodeState, work: Work, exchange: ClientExchange
+) -> None:
+    """Send a call to upstreams until one answers, and pass the answer on.
+
+    A call that may not be repeated goes to another upstream only when it
+    is certain that it did not run, and goes on when its client leaves.
+    """
+    is_kept = not work.route.is_repeatable
+    with trio.CancelScope(shield=is_kept):
+        outcome = await _try_upstreams(state, work)
+        if isinstance(outcome, _Whole):
+            await exchange.answer(outcome.status, outcome.headers, outcome.body)
+            state.log.write(
+                EventCode.request_answered,
+                request=work.call.request_id,
+                status=outcome.status,
+                sent=work.n_sent,
+                left_s=round(time_left_s(work), 3),
+            )
+        else:
+            await _refuse_fault(state, work, exchange, outcome)
+
+
+async def _try_upstreams(state: NodeState, work: Work) -> _Whole | AttemptFault:
+    kept: _Whole | AttemptFault = AttemptFault(
+        FaultKind.not_sent, 'no upstream'
+    )
+    for number in range(_MAX_SENDINGS):
+        if time_left_s(work) <= 0:
+            break
+        if number > 0 and not may_retry(state, work):
+            break
+        upstream = begin_attempt(state, work)
+        if upstream is None:
+            break
+        try:
+            outcome = await _send_once(state, work, upstream)
+        finally:
+            end_attempt(state, work, upstream)
+        kept = _prefer(kept, outcome)
+        if not _may_go_on(work, outcome):
+            break
+    return kept
+
+
+def _prefer(
+    kept: _Whole | AttemptFault, outcome: _Whole | AttemptFault
+) -> _Whole | AttemptFault:
+    """Keep what says the most: a response, then that it may have run."""
+    if isinstance(outcome, _Whole):
+        return outcome
+    if isinstance(kept, _Whole) or kept.kind is FaultKind.unknown:
+        return kept
+    return outcome
+
+
+def _may_go_on(work: Work, outcome: _Whole | AttemptFault) -> bool:
+    """Tell whether another upstream may be tried."""
+    if isinstance(outcome, _Whole):
+        if outcome.status < _SERVER_ERROR:
+            return False
+        work.n_runs += 1
+    elif outcome.kind is FaultKind.unknown:
+        work.n_runs += 1
+    if work.n_runs == 0:
+        return True
+    return work.route.is_repeatable and work.n_runs < work.route.max_attempts
+
+
+async def _send_once(
+    state: NodeState, work: Work, upstream: ListedUpstream
+) -> _Whole | AttemptFault:
+    left_s = time_left_s(work)
+    wait_s = left_s
+    if work.route.is_repeatable and work.n_runs == 0:
+        wait_s = left_s * _FIRST_TRY_SHARE
+    sending = Sending(
+        upstream.upstream_id,
+        work.team.name,
+        left_s,
+        priority=None,
+    )
+    outcome: _Whole | AttemptFault = AttemptFault(
+        FaultKind.unknown, 'no response in time'
+    )
+    with trio.move_on_after(wait_s):
+        outcome = await _exchange(state, work, upstream, sending, wait_s)
+    work.n_sent += _is_sent(outcome)
+    _judge(state, work, upstream, outcome)
+    return outcome
+
+
+async def _exchange(
+    state: NodeState,
+    work: Work,
+    upstream: ListedUpstream,
+    sending: Sending,
+    wait_s: float,
+) -> _Whole | AttemptFault:
+    opened = await open_attempt(state, work.call, sending, upstream, wait_s)
+    if isinstance(opened, AttemptFault):
+        return opened
+    try:
+        body = await read_body(opened.connection, _MAX_ANSWER_BYTES)
+    finally:
+        opened.connection.abort()
+    if isinstance(body, ReadFault):
+        return AttemptFault(FaultKind.unknown, body.value)
+    return _Whole(opened.status, opened.info.headers, body)
+
+
+def _is_sent(outcome: _Whole | AttemptFault) -> bool:
+    if isinstance(outcome, _Whole):
+        return True
+    return outcome.kind is not FaultKind.not_sent
+
+
+def _judge(
+    state: NodeState,
+    work: Work,
+    upstream: ListedUpstream,
+    outcome: _Whole | AttemptFault,
+) -> None:
+    if isinstance(outcome, _Whole):
+        is_error = outcome.status >= _SERVER_ERROR
+        fault = f'status {outcome.status}' if is_error else ''
+        judge_attempt(state, work, upstream, fault)
+        return
+    is_silent = outcome.kind is FaultKind.not_sent
+    is_silent = is_silent or outcome.reason == 'no response in time'
+    judge_attempt(state, work, upstream, outcome.reason, is_silent=is_silent)
+
+
+async def _refuse_fault(
+    state: NodeState,
+    work: Work,
+    exchange: ClientExchange,
+    fault: AttemptFault,
+) -> None:
+    """Say what is known: not run, too late, or unknown."""
+    code = ResultCode.upstream_failed
+    retry_after_s = None
+    if fault.kind is not FaultKind.unknown:
+        code = ResultCode.no_upstream
+        retry_after_s = _COME_BACK_S + state.random_source.random() * 0.1
+    elif time_left_s(work) <= 0:
+        code = ResultCode.deadline_passed
+    await refuse(
+        state,
+        exchange,
+        code,
+        work.call.request_id,
+        retry_after_s=retry_after_s,
+        reason=fault.reason,
+    )
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -0,0 +1,126 @@
+"""Takes the requests of clients: finds route, team and upstreams."""
+
+import trio
+from turmericcrank_core.codes import ResultCode
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.retries import earn_retry
+from turmericcrank_core.routing import (
+    CallKind,
+    ForwardRoute,
+    Team,
+    choose_service,
+    find_route,
+    find_team,
+)
+
+from turmericcrank_node.platform_port import Call
+from turmericcrank_node.serving.client_connection import (
+    ClientExchange,
+    ClientRequest,
+)
+from turmericcrank_node.serving.plain_call import answer_plain_call
+from turmericcrank_node.serving.stream_call import answer_stream_call
+from turmericcrank_node.serving.work import Work, refuse
+from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.upstreams.candidates import Need
+
+__all__ = ('answer_request',)
+
+_COME_BACK_S = 0.1
+
+
+async def answer_request(
+    state: NodeState, request: ClientRequest, exchange: ClientExchange
+) -> None:
+    """Answer one request of a client."""
+    state.n_requests += 1
+    try:
+        await _route_request(
+            state, state.platform.decode_call(request), exchange
+        )
+    finally:
+        state.n_requests -= 1
+
+
+async def _route_request(
+    state: NodeState, call: Call, exchange: ClientExchange
+) -> None:
+    code = _find_standing(state)
+    if code is not None:
+        await refuse(
+            state,
+            exchange,
+            code,
+            call.request_id,
+            retry_after_s=_COME_BACK_S,
+        )
+        return
+    route = find_route(state.table, call.host, call.path)
+    if route is None:
+        await refuse(state, exchange, ResultCode.unknown_route, call.request_id)
+        return
+    team = find_team(state.table, route, call.api_key)
+    if team is None:
+        await refuse(state, exchange, ResultCode.bad_key, call.request_id)
+        return
+    await _answer(state, _make_work(state, call, route, team), exchange)
+
+
+def _find_standing(state: NodeState) -> ResultCode | None:
+    """Tell why this node may not take a request now; None when it may."""
+    if state.table is None:
+        return ResultCode.no_tables
+    if state.is_refusing:
+        return ResultCode.draining
+    if not state.is_proven:
+        return ResultCode.cut_off
+    return None
+
+
+def _make_work(
+    state: NodeState, call: Call, route: ForwardRoute, team: Team
+) -> Work:
+    patience_s = route.timeout_s
+    if call.patience_s is not None:
+        patience_s = min(patience_s, call.patience_s)
+    session_key = call.session or call.request_id
+    service = choose_service(route, session_key)
+    use = state.sessions.uses_by_key.get(f'{service}/{call.session}')
+    need = Need(
+        service,
+        f'{service}/{session_key}',
+        use.version if use and call.session else '',
+        call.prefix,
+    )
+    return Work(call, route, team, need, call.request.arrived_s + patience_s)
+
+
+async def _answer(
+    state: NodeState, work: Work, exchange: ClientExchange
+) -> None:
+    call = work.call
+    state.log.write(
+        EventCode.request_received,
+        request=call.request_id,
+        route=work.route.name,
+        team=work.team.name,
+        revision=state.table.revision if state.table else 0,
+        service=work.need.service,
+        session=call.session,
+        session_version=work.need.session_version,
+    )
+    budget = state.budgets_by_service.get(work.need.service)
+    if budget is not None:
+        earn_retry(budget)
+    try:
+        if work.route.kind is CallKind.stream:
+            await answer_stream_call(state, work, exchange)
+        else:
+            await answer_plain_call(state, work, exchange)
+    except trio.Cancelled:
+        state.log.write(
+            EventCode.request_cancelled,
+            request=call.request_id,
+            sent=work.n_sent,
+        )
+        raise
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/serving/work.py
@@ -0,0 +1,188 @@
+"""A request that was accepted, and what the node owes for it."""
+
+from dataclasses import dataclass
+
+import trio
+from turmericcrank_core.codes import CODES, ResultCode
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.outcomes import note_outcome, rest_upstream
+from turmericcrank_core.retries import RetryBudget, spend_retry
+from turmericcrank_core.routing import ForwardRoute, Team
+from turmericcrank_core.upstream_rows import ListedUpstream
+from turmericcrank_core.version_choice import note_session
+
+from turmericcrank_node.control.version_evidence import (
+    make_version_key,
+    note_version_answer,
+)
+from turmericcrank_node.platform_port import Call
+from turmericcrank_node.serving.client_connection import ClientExchange
+from turmericcrank_node.state.node_state import NodeState, read_boot_s
+from turmericcrank_node.upstreams.candidates import Need, choose, find_rollout
+
+__all__ = (
+    'Work',
+    'begin_attempt',
+    'end_attempt',
+    'judge_attempt',
+    'may_retry',
+    'refuse',
+    'time_left_s',
+)
+
+
+@dataclass(slots=True)
+class Work:
+    """One request on its way.
+
+    Attributes:
+        call: The client's request.
+        route: Its route.
+        team: Its team.
+        need: What it needs of an upstream.
+        ends_s: When the client must have its answer, on trio's clock.
+        tried: Upstreams that were tried.
+        n_runs: Attempts that may have run.
+        n_sent: Attempts that reached an upstream.
+    """
+
+    call: Call
+    route: ForwardRoute
+    team: Team
+    need: Need
+    ends_s: float
+    tried: frozenset[str] = frozenset()
+    n_runs: int = 0
+    n_sent: int = 0
+
+
+def time_left_s(work: Work) -> float:
+    """Give the time until the client must have its answer, in seconds."""
+    return work.ends_s - trio.current_time()
+
+
+def begin_attempt(state: NodeState, work: Work) -> ListedUpstream | None:
+    """Choose an upstream and count the request there; None without one."""
+    upstream = choose(state, work.need, work.tried)
+    if upstream is None:
+        return None
+    upstream_id = upstream.upstream_id
+    work.tried |= {upstream_id}
+    running = state.running_by_id
+    running[upstream_id] = running.get(upstream_id, 0) + 1
+    if work.call.session:
+        note_session(
+            state.sessions,
+            work.need.session_key,
+            upstream.version,
+            read_boot_s(),
+        )
+    state.log.write(
+        EventCode.request_sent,
+        request=work.call.request_id,
+        upstream=upstream_id,
+        version=upstream.version,
+        running=running[upstream_id],
+        attempt=work.n_sent + 1,
+        left_s=round(time_left_s(work), 3),
+    )
+    return upstream
+
+
+def end_attempt(state: NodeState, work: Work, upstream: ListedUpstream) -> None:
+    """Count a request that is no longer at an upstream."""
+    upstream_id = upstream.upstream_id
+    state.running_by_id[upstream_id] -= 1
+    if not state.running_by_id[upstream_id]:
+        state.running_by_id.pop(upstream_id)
+    if work.call.session:
+        note_session(
+            state.sessions,
+            work.need.session_key,
+            upstream.version,
+            read_boot_s(),
+        )
+
+
+def judge_attempt(
+    state: NodeState,
+    work: Work,
+    upstream: ListedUpstream,
+    fault: str,
+    *,
+    is_slow: bool = False,
+    is_silent: bool = False,
+) -> None:
+    """Count how an attempt went, for its upstream and for its version.
+
+    Args:
+        state: The node.
+        work: The request.
+        upstream: Where it was.
+        fault: What went wrong; empty when nothing did.
+        is_slow: Whether it came far slower than usual.
+        is_silent: Whether the upstream did not speak at all; then it rests,
+            and its version is not blamed.
+    """
+    now_s = read_boot_s()
+    upstream_id = upstream.upstream_id
+    is_bad = bool(fault)
+    note_outcome(state.outcomes, upstream_id, is_bad, now_s)
+    if is_silent:
+        rest_upstream(state.outcomes, upstream_id, now_s)
+    if is_bad:
+        state.log.write(
+            EventCode.attempt_failed,
+            request=work.call.request_id,
+            upstream=upstream_id,
+            version=upstream.version,
+            reason=fault,
+        )
+    rollout = find_rollout(state, upstream.service)
+    if rollout is None or rollout.phase.is_final:
+        return
+    if upstream.version != rollout.order.version:
+        return
+    if not is_silent:
+        key = make_version_key(
+            upstream.service, rollout.order.number, work.route.name
+        )
+        note_version_answer(state, key, upstream_id, is_bad, is_slow)
+
+
+def may_retry(state: NodeState, work: Work) -> bool:
+    """Take a retry from the budget of the service."""
+    bounds = state.settings.bounds
+    budget = state.budgets_by_service.get(work.need.service)
+    if budget is None:
+        budget = RetryBudget(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_slack
+        )
+        state.budgets_by_service[work.need.service] = budget
+    return spend_retry(budget)
+
+
+async def refuse(
+    state: NodeState,
+    exchange: ClientExchange,
+    code: ResultCode,
+    request_id: str,
+    *,
+    retry_after_s: float | None = None,
+    reason: str = '',
+) -> None:
+    """Give the final answer of a request that is not served."""
+    info = CODES[code]
+    headers = [(b'x-result-code', str(int(code)).encode())]
+    if retry_after_s is not None:
+        headers.append((b'retry-after', f'{retry_after_s:.2f}'.encode()))
+    state.log.write(
+        EventCode.request_refused,
+        request=request_id,
+        code=int(code),
+        status=info.http_status,
+        retry_after_s=retry_after_s,
+        reason=reason,
+        n_requests=state.n_requests,
+    )
+    await exchange.answer(info.http_status, headers, info.text.encode())
--- a/packages/node/src/turmericcrank_node/settings.py
+++ b/packages/node/src/turmericcrank_node/settings.py
@@ -156,12 +156,6 @@
     return Ok(_build_settings(raw))
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``IP:port``."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 def _check_addresses(raw: dict[str, Any]) -> list[FieldFault]:
     faults = []
     for name in ('caller_address', 'peer_address'):
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -0,0 +1,111 @@
+"""What the tasks of one node share; each part names who changes it."""
+
+import random
+import time
+from dataclasses import dataclass, field
+
+import trio
+from turmericcrank_core.membership import Members, Peer
+from turmericcrank_core.outcomes import OutcomeBook
+from turmericcrank_core.proofs import TableProof, proof_age_s
+from turmericcrank_core.retries import RetryBudget
+from turmericcrank_core.rollout_phases import RolloutState
+from turmericcrank_core.routing import ClientLimits, RouteTable
+from turmericcrank_core.upstream_rows import UpstreamList
+from turmericcrank_core.version_choice import SessionBook, VersionBook
+
+from turmericcrank_node.event_log import EventLog
+from turmericcrank_node.platform_port import Platform, RouterSettings
+from turmericcrank_node.state.evidence_book import EvidenceBook
+
+__all__ = ('NodeState', 'SpeedBook', 'describe_self', 'read_boot_s')
+
+_REVOKE_PART = 0.8
+
+
+@dataclass(slots=True)
+class SpeedBook:
+    """Usual pauses between events, by service, version and model."""
+
+    pause_s_by_key: dict[tuple[str, str, str], float] = field(
+        default_factory=dict
+    )
+
+
+@dataclass(slots=True)
+class NodeState:
+    """State of one node."""
+
+    settings: RouterSettings
+    platform: Platform
+    log: EventLog
+    incarnation: str
+    random_source: random.Random
+    # Changed by table_watch.
+    table: RouteTable | None = None
+    configuration_proof: TableProof = field(default_factory=TableProof)
+    upstream_proof: TableProof = field(default_factory=TableProof)
+    listed: UpstreamList = field(default_factory=UpstreamList)
+    versions: VersionBook = field(default_factory=VersionBook)
+    store_offset_s: float = 0
+    # Changed by peer_news.
+    members: Members = field(default_factory=Members)
+    told_running_by_node: dict[str, dict[str, int]] = field(
+        default_factory=dict
+    )
+    news_wanted: trio.Event = field(default_factory=trio.Event)
+    # Changed by upstreams.
+    running_by_id: dict[str, int] = field(default_factory=dict)
+    outcomes: OutcomeBook = field(default_factory=OutcomeBook)
+    sessions: SessionBook = field(default_factory=SessionBook)
+    speeds: SpeedBook = field(default_factory=SpeedBook)
+    budgets_by_service: dict[str, RetryBudget] = field(default_factory=dict)
+    # Changed by rollout_control.
+    rollouts_by_service: dict[str, RolloutState] = field(default_factory=dict)
+    signs_by_order: dict[tuple[str, int], str] = field(default_factory=dict)
+    evidence: EvidenceBook = field(default_factory=EvidenceBook)
+    # Changed by router.
+    is_stopping: bool = False
+    is_refusing: bool = False
+    closing: trio.Event = field(default_factory=trio.Event)
+    n_requests: int = 0
+
+    @property
+    def limits(self) -> ClientLimits:
+        """Give the limits of clients in force now."""
+        return self.table.limits if self.table else ClientLimits()
+
+    @property
+    def is_proven(self) -> bool:
+        """Tell whether the configuration may be relied on now."""
+        age_s = proof_age_s(self.configuration_proof, read_boot_s())
+        return age_s < self.settings.bounds.revoke_s * _REVOKE_PART
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether this node takes clients."""
+        is_there = self.table is not None and self.is_proven
+        return is_there and not self.is_stopping
+
+    def want_news(self) -> None:
+        """Have the peers told soon."""
+        self.news_wanted.set()
+
+
+def describe_self(state: NodeState) -> Peer:
+    """Describe this node as its peers see it."""
+    settings = state.settings
+    return Peer(
+        settings.node_id,
+        state.incarnation,
+        settings.data_centre,
+        settings.addresses.peer,
+        settings.addresses.client,
+        state.is_ready,
+        read_boot_s(),
+    )
+
+
+def read_boot_s() -> float:
+    """Read the clock that goes on while the process is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -0,0 +1,218 @@
+"""Follows the configuration and the list of upstreams in the store.
+
+One node reads and the others hear of changes from it; a node whose newest
+proof grows old reads for itself. So the number of calls to the store does
+not grow with the number of nodes while they hear each other.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.membership import plan_rank
+from turmericcrank_core.proofs import (
+    TableProof,
+    is_behind,
+    note_reading,
+    plan_read_age_s,
+    proof_age_s,
+)
+from turmericcrank_core.rollout_phases import (
+    RolloutPhase,
+    RolloutState,
+    merge_state,
+)
+from turmericcrank_core.upstream_rows import (
+    expire_lapsed,
+    iter_usable,
+    note_listed,
+    note_missing,
+)
+from turmericcrank_core.version_choice import note_versions
+
+from turmericcrank_node.platform_port import (
+    ChangedRow,
+    FeedPage,
+    HistoryLost,
+    StoreUnavailable,
+)
+from turmericcrank_node.state.node_state import NodeState, read_boot_s
+
+__all__ = ('apply_configuration', 'apply_upstreams', 'serve_table_watch')
+
+_WAIT_S = 0.7
+_LOOK_PAUSE_S = 0.05
+_FAULT_PAUSE_S = 0.2
+_MS = 1000
+
+ApplyRows = Callable[[NodeState, FeedPage, bool], None]
+
+
+@dataclass(slots=True)
+class TableWatch:
+    """One table that is followed.
+
+    Attributes:
+        table: Its name in the store.
+        proof: What is known of the copy.
+        apply: Takes a page of rows; told whether the page is complete.
+        is_lost: Whether the last reading failed.
+        unread: Keys with a newer change than the copy has.
+    """
+
+    table: str
+    proof: TableProof
+    apply: ApplyRows
+    is_lost: bool = False
+    unread: set[str] = field(default_factory=set)
+
+
+async def serve_table_watch(state: NodeState) -> None:
+    """Follow both tables for ever."""
+    platform = state.platform
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            _follow,
+            state,
+            TableWatch(
+                platform.configuration_table,
+                state.configuration_proof,
+                apply_configuration,
+            ),
+        )
+        nursery.start_soon(
+            _follow,
+            state,
+            TableWatch(
+                platform.upstream_table, state.upstream_proof, apply_upstreams
+            ),
+        )
+
+
+async def _follow(state: NodeState, watch: TableWatch) -> None:
+    while True:
+        now_s = read_boot_s()
+        rank = plan_rank(state.members, state.settings.node_id, now_s)
+        is_behind_now = is_behind(watch.proof)
+        age_s = proof_age_s(watch.proof, now_s)
+        if is_behind_now or age_s >= plan_read_age_s(rank):
+            is_reader = rank == 0 and not is_behind_now
+            await _read_once(state, watch, _WAIT_S if is_reader else 0)
+        else:
+            await trio.sleep(_LOOK_PAUSE_S)
+
+
+async def _read_once(
+    state: NodeState, watch: TableWatch, wait_s: float
+) -> None:
+    """Read changes, or the whole table where that is needed."""
+    proof = watch.proof
+    asked_s = read_boot_s()
+    outcome: FeedPage | HistoryLost | StoreUnavailable
+    is_whole = proof.read_version < 0
+    if is_whole:
+        outcome = await state.platform.store.read_table(watch.table)
+    else:
+        outcome = await state.platform.store.read_changes(
+            watch.table, proof.read_version, wait_s
+        )
+    if isinstance(outcome, HistoryLost):
+        state.log.write(EventCode.store_history_lost, table=watch.table)
+        proof.read_version = -1
+        return
+    if isinstance(outcome, StoreUnavailable):
+        _note_lost(state, watch, outcome.reason)
+        await trio.sleep(_FAULT_PAUSE_S)
+        return
+    _note_found(state, watch)
+    state.store_offset_s = outcome.now_ms / _MS - read_boot_s()
+    watch.apply(state, outcome, is_whole)
+    change = max((row.version for row in outcome.rows), default=0)
+    waited_s = 0 if outcome.rows else wait_s
+    proven_s = min(asked_s + waited_s, read_boot_s())
+    is_news = change > proof.change
+    note_reading(proof, outcome.version, change, proven_s)
+    if is_news or wait_s > 0:
+        state.want_news()
+
+
+def _note_lost(state: NodeState, watch: TableWatch, reason: str) -> None:
+    if not watch.is_lost:
+        watch.is_lost = True
+        state.log.write(EventCode.store_lost, table=watch.table, detail=reason)
+
+
+def _note_found(state: NodeState, watch: TableWatch) -> None:
+    if watch.is_lost:
+        watch.is_lost = False
+        state.log.write(EventCode.store_found, table=watch.table)
+
+
+def apply_configuration(
+    state: NodeState, page: FeedPage, is_whole: bool
+) -> None:
+    """Take the newest configuration and the roll-outs that were ordered."""
+    for row in page.rows:
+        table = state.platform.decode_configuration(row)
+        if table is not None:
+            if state.table is None or table.revision > state.table.revision:
+                state.table = table
+                state.log.write(
+                    EventCode.revision_adopted,
+                    revision=table.revision,
+                    change=row.version,
+                )
+        order = state.platform.decode_order(row)
+        if order is not None:
+            ordered = RolloutState(order, RolloutPhase.ordered, read_boot_s())
+            own = state.rollouts_by_service.get(order.service)
+            merged = merge_state(own, ordered)
+            if own is None or merged.order is not own.order:
+                state.rollouts_by_service[order.service] = merged
+
+
+def apply_upstreams(state: NodeState, page: FeedPage, is_whole: bool) -> None:
+    """Take the upstreams that are listed, and note the missing ones."""
+    now_s = read_boot_s()
+    present = set()
+    for row in page.rows:
+        upstream = state.platform.decode_upstream(row)
+        if upstream is None:
+            _note_gone(state, row, now_s)
+            continue
+        present.add(upstream.upstream_id)
+        before = state.listed.by_id.get(upstream.upstream_id)
+        note_listed(state.listed, upstream)
+        if before is None or before.is_draining != upstream.is_draining:
+            state.log.write(
+                EventCode.upstream_listed,
+                upstream=upstream.upstream_id,
+                service=upstream.service,
+                address=upstream.address,
+                version=upstream.version,
+                draining=upstream.is_draining,
+                change=row.version,
+            )
+    if is_whole:
+        for upstream_id in list(state.listed.by_id):
+            if upstream_id not in present:
+                note_missing(state.listed, upstream_id, now_s)
+    expire_lapsed(state.listed, now_s)
+    _refresh_versions(state, now_s)
+
+
+def _note_gone(state: NodeState, row: ChangedRow, now_s: float) -> None:
+    if row.key in state.listed.by_id:
+        note_missing(state.listed, row.key, now_s)
+        state.log.write(
+            EventCode.upstream_missing, upstream=row.key, change=row.version
+        )
+
+
+def _refresh_versions(state: NodeState, now_s: float) -> None:
+    services = {one.service for one in state.listed.by_id.values()}
+    services.update(state.versions.known_by_service)
+    for service in services:
+        usable = iter_usable(state.listed, service, now_s)
+        note_versions(state.versions, service, (one.version for one in usable))
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Sends requests to upstreams."""
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -0,0 +1,160 @@
+"""Sends a request to one upstream and reads the head of its response."""
+
+import enum
+from dataclasses import dataclass
+
+import trio
+from turmericcrank_core.network_address import split_address
+from turmericcrank_core.upstream_rows import ListedUpstream
+
+from turmericcrank_node.http_wire import (
+    ConnectFault,
+    ReadFault,
+    ResponseHead,
+    UpstreamConnection,
+    connect_upstream,
+    read_response_head,
+    write_request,
+)
+from turmericcrank_node.platform_port import AnswerInfo, Call, Sending
+from turmericcrank_node.state.node_state import NodeState
+
+__all__ = ('Answering', 'AttemptFault', 'FaultKind', 'open_attempt')
+
+_CONNECT_S = 0.4
+_LOOK_S = 1.2
+_SUCCESS = range(200, 300)
+
+
+class FaultKind(enum.StrEnum):
+    """What is known of a request after a failed attempt."""
+
+    not_sent = 'not sent'
+    not_run = 'not run'
+    unknown = 'unknown'
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptFault:
+    """An attempt that gave no response.
+
+    Attributes:
+        kind: Whether the request may have run.
+        reason: What was seen.
+    """
+
+    kind: FaultKind
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Answering:
+    """An upstream that has begun to answer.
+
+    Attributes:
+        connection: Where the body comes.
+        status: Status of the response.
+        info: What its head says.
+    """
+
+    connection: UpstreamConnection
+    status: int
+    info: AnswerInfo
+
+
+async def open_attempt(
+    state: NodeState,
+    call: Call,
+    sending: Sending,
+    upstream: ListedUpstream,
+    head_timeout_s: float,
+) -> Answering | AttemptFault:
+    """Send a request and wait for the head of the response.
+
+    Args:
+        state: The node.
+        call: The client's request.
+        sending: What the upstream is told with it.
+        upstream: Where it goes.
+        head_timeout_s: Longest wait for the head, in seconds.
+
+    Returns:
+        The response, whose connection the caller closes, or why there is
+        none; then the connection is closed.
+    """
+    host, port = split_address(upstream.address)
+    connect_s = min(_CONNECT_S, head_timeout_s)
+    connection = await connect_upstream(host, port, connect_s)
+    if isinstance(connection, ConnectFault):
+        return AttemptFault(FaultKind.not_sent, connection.value)
+    is_kept = False
+    try:
+        outcome = await _exchange(
+            state, call, sending, connection, upstream, head_timeout_s
+        )
+        is_kept = isinstance(outcome, Answering)
+    finally:
+        if not is_kept:
+            connection.abort()
+    return outcome
+
+
+async def _exchange(
+    state: NodeState,
+    call: Call,
+    sending: Sending,
+    connection: UpstreamConnection,
+    upstream: ListedUpstream,
+    head_timeout_s: float,
+) -> Answering | AttemptFault:
+    headers = state.platform.encode_sending(call, sending)
+    request = call.request
+    head: ResponseHead | ReadFault | None = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            write_request,
+            connection,
+            request.method,
+            request.target,
+            headers,
+            request.body,
+        )
+        with trio.move_on_after(head_timeout_s) as scope:
+            nursery.start_soon(_watch_host, upstream, scope)
+            head = await read_response_head(connection)
+        nursery.cancel_scope.cancel()
+    if head is None:
+        return AttemptFault(FaultKind.unknown, 'no response in time')
+    if isinstance(head, ReadFault):
+        return AttemptFault(FaultKind.unknown, head.value)
+    return _check_head(state, call, connection, head)
+
+
+async def _watch_host(
+    upstream: ListedUpstream, scope: trio.CancelScope
+) -> None:
+    """End the wait for an upstream that takes no connections any more."""
+    host, port = split_address(upstream.address)
+    while True:
+        await trio.sleep(_LOOK_S)
+        probe = await connect_upstream(host, port, _CONNECT_S)
+        if isinstance(probe, ConnectFault):
+            scope.cancel()
+            return
+        probe.abort()
+
+
+def _check_head(
+    state: NodeState,
+    call: Call,
+    connection: UpstreamConnection,
+    head: ResponseHead,
+) -> Answering | AttemptFault:
+    info = state.platform.decode_answer(head.status, head.headers)
+    if info.is_not_run:
+        return AttemptFault(FaultKind.not_run, f'status {head.status}')
+    if info.request_id and info.request_id != call.request_id:
+        return AttemptFault(FaultKind.unknown, 'another request was answered')
+    if head.status in _SUCCESS and not info.is_signed:
+        return AttemptFault(FaultKind.unknown, 'no signature')
+    return Answering(connection, head.status, info)
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/upstreams/candidates.py
@@ -0,0 +1,124 @@
+"""Finds the upstreams that may run a request, and chooses one."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from turmericcrank_core.outcomes import is_resting, recent_bad_share
+from turmericcrank_core.placement import (
+    Candidate,
+    PlacementSettings,
+    choose_upstream,
+)
+from turmericcrank_core.rollout_phases import RolloutPhase, RolloutState
+from turmericcrank_core.upstream_rows import ListedUpstream, iter_usable
+from turmericcrank_core.version_choice import choose_versions
+
+from turmericcrank_node.state.node_state import NodeState, read_boot_s
+
+__all__ = ('Need', 'choose', 'count_running', 'find_rollout', 'service_load')
+
+_JITTER = 0.02
+_SETTINGS = PlacementSettings()
+
+
+@dataclass(slots=True, frozen=True)
+class Need:
+    """What a request needs of an upstream.
+
+    Attributes:
+        service: Service that answers it.
+        session_key: Key of its session or, without one, its own id.
+        session_version: Version that its session ran on last.
+        prefix: Last shared part of its prompt; empty for none.
+    """
+
+    service: str
+    session_key: str
+    session_version: str
+    prefix: str
+
+
+def choose(
+    state: NodeState, need: Need, tried: frozenset[str]
+) -> ListedUpstream | None:
+    """Choose an upstream that was not tried yet; None without one."""
+    now_s = read_boot_s()
+    versions = choose_versions(
+        state.versions.known_by_service.get(need.service, []),
+        find_rollout(state, need.service),
+        need.session_version,
+        need.session_key,
+    )
+    for version in versions:
+        candidates = [
+            candidate
+            for candidate in _iter_candidates(state, need.service, now_s)
+            if candidate.upstream.version == version
+            and candidate.upstream.upstream_id not in tried
+        ]
+        chosen = _choose_best(state, need, candidates, now_s)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def find_rollout(state: NodeState, service: str) -> RolloutState | None:
+    """Find the roll-out of a service as this node follows it."""
+    rollout = state.rollouts_by_service.get(service)
+    if rollout is None or rollout.phase.is_final:
+        return rollout
+    order = rollout.order
+    if (service, order.number) in state.signs_by_order:
+        return RolloutState(order, RolloutPhase.rolled_back, rollout.began_s)
+    return rollout
+
+
+def count_running(state: NodeState, upstream_id: str) -> int:
+    """Count the requests at an upstream, from all nodes that are heard."""
+    told = sum(
+        running_by_id.get(upstream_id, 0)
+        for running_by_id in state.told_running_by_node.values()
+    )
+    return told + state.running_by_id.get(upstream_id, 0)
+
+
+def service_load(state: NodeState, service: str) -> float:
+    """Give the share of the slots of a service that are in use."""
+    usable = list(iter_usable(state.listed, service, read_boot_s()))
+    n_slots = sum(upstream.slots for upstream in usable)
+    n_running = sum(
+        count_running(state, upstream.upstream_id) for upstream in usable
+    )
+    return n_running / max(1, n_slots)
+
+
+def _iter_candidates(
+    state: NodeState, service: str, now_s: float
+) -> Iterator[Candidate]:
+    for upstream in iter_usable(state.listed, service, now_s):
+        upstream_id = upstream.upstream_id
+        yield Candidate(
+            upstream,
+            count_running(state, upstream_id),
+            recent_bad_share(state.outcomes, upstream_id, now_s),
+            upstream_id in state.listed.lapsed_s_by_id,
+        )
+
+
+def _choose_best(
+    state: NodeState, need: Need, candidates: list[Candidate], now_s: float
+) -> ListedUpstream | None:
+    """Choose among those that do not rest or, without any, among all."""
+    awake = [
+        candidate
+        for candidate in candidates
+        if not is_resting(state.outcomes, candidate.upstream.upstream_id, now_s)
+    ]
+    best = choose_upstream(
+        awake or candidates,
+        need.prefix,
+        state.settings.data_centre,
+        lambda: state.random_source.random() * _JITTER,
+        _SETTINGS,
+    )
+    return best.upstream if best else None
