--- a/packages/core/src/turmericcrank_core/ladder.py
+++ b/packages/core/src/turmericcrank_core/ladder.py
@@ -21,7 +21,7 @@
             asked.
     """
 
-    min_confidence: float = 50
+    min_confidence: float = 40
     max_load: float = 0.85
 
 
--- a/packages/core/src/turmericcrank_core/placement.py
+++ b/packages/core/src/turmericcrank_core/placement.py
@@ -31,7 +31,7 @@
     """
 
     away_cost: float = 0.1
-    busy_running: int = 16
+    busy_running: int = 8
     bad_cost: float = 6
     lapsed_cost: float = 2
     order_cost: float = 0.5
