Keep a small model's answer while engines are busy

Change: the confidence that is asked for falls with the load, no larger model is asked when its first event is likely to come late, a failed larger model is followed by the smallest, and a queue is left only when its host takes no connections.

--- a/packages/node/src/turmericcrank_node/serving/router.py
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -45,17 +45,16 @@
 async def _route_request(
     state: NodeState, call: Call, exchange: ClientExchange
 ) -> None:
-    code = _find_standing(state)
-    if code is not None:
-        await refuse(
-            state,
-            exchange,
-            code,
-            call.request_id,
-            retry_after_s=_COME_BACK_S,
-        )
+    if state.table is None or state.is_refusing:
+        code = ResultCode.draining
+        if state.table is None:
+            code = ResultCode.no_tables
+        await _send_elsewhere(state, exchange, code, call)
         return
     route = find_route(state.table, call.host, call.path)
+    if not state.is_proven and (route is None or not route.is_public):
+        await _send_elsewhere(state, exchange, ResultCode.cut_off, call)
+        return
     if route is None:
         await refuse(state, exchange, ResultCode.unknown_route, call.request_id)
         return
@@ -66,15 +65,13 @@
     await _answer(state, _make_work(state, call, route, team), exchange)
 
 
-def _find_standing(state: NodeState) -> ResultCode | None:
-    """Tell why this node may not take a request now; None when it may."""
-    if state.table is None:
-        return ResultCode.no_tables
-    if state.is_refusing:
-        return ResultCode.draining
-    if not state.is_proven:
-        return ResultCode.cut_off
-    return None
+async def _send_elsewhere(
+    state: NodeState, exchange: ClientExchange, code: ResultCode, call: Call
+) -> None:
+    """Refuse a request that another node may take at once."""
+    await refuse(
+        state, exchange, code, call.request_id, retry_after_s=_COME_BACK_S
+    )
 
 
 def _make_work(
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -12,10 +12,14 @@
 from turmericcrank_core.codes import ResultCode
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.ladder import (
+    Doubt,
     Ladder,
     LadderSettings,
-    first_model,
+    current_model,
+    forecast_s,
+    note_speed,
     plan_larger,
+    step_back,
 )
 from turmericcrank_core.sse import EventSplitter, StreamEvent, split_events
 from turmericcrank_core.upstream_rows import ListedUpstream
@@ -32,7 +36,7 @@
     refuse,
     time_left_s,
 )
-from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.state.node_state import NodeState, read_boot_s
 from turmericcrank_node.upstreams.attempt import (
     Answering,
     AttemptFault,
@@ -47,7 +51,7 @@
 _MAX_SENDINGS = 6
 _COME_BACK_S = 0.15
 _STALL_SHARE = 0.9
-_HEAD_SHARE = 1.75
+_HEAD_SHARE = 0.6
 _MIN_HEAD_S = 0.8
 _LADDER = LadderSettings()
 _PAUSE_GAIN = 0.1
@@ -106,7 +110,7 @@
         state.log.write(
             EventCode.request_answered,
             request=work.call.request_id,
-            model=first_model(stream.ladder),
+            model=current_model(stream.ladder),
             sent=work.n_sent,
             last_event=stream.last_event_id,
             left_s=round(time_left_s(work), 3),
@@ -146,6 +150,8 @@
         if isinstance(outcome, _Doubted):
             stream.ladder.step = outcome.step
             work.tried = frozenset()
+        elif not exchange.is_started:
+            step_back(stream.ladder)
         kept = _prefer(kept, outcome)
         if not _may_go_on(work, stream, outcome):
             break
@@ -155,6 +161,8 @@
 def _prefer(kept: _Outcome, outcome: _Outcome) -> _Outcome:
     if isinstance(outcome, (_Done, _Failed)):
         return outcome
+    if isinstance(kept, _Doubted):
+        return outcome
     if isinstance(kept, AttemptFault) and kept.kind is not FaultKind.unknown:
         return outcome
     return kept
@@ -184,16 +192,23 @@
         upstream.upstream_id,
         work.team.name,
         left_s,
-        model=first_model(stream.ladder),
+        model=current_model(stream.ladder),
         priority=_plan_priority(work),
         last_event_id=stream.last_event_id,
     )
     outcome: _Outcome = AttemptFault(FaultKind.unknown, 'deadline passed')
     with trio.move_on_after(left_s):
+        sent_s = trio.current_time()
         opened = await open_attempt(
             state, work.call, sending, upstream, _plan_head_s(work, left_s)
         )
         if isinstance(opened, Answering):
+            note_speed(
+                state.forecast,
+                (work.route.name, sending.model),
+                trio.current_time() - sent_s,
+                read_boot_s(),
+            )
             try:
                 outcome = await _relay(state, work, exchange, stream, opened)
             finally:
@@ -213,13 +228,15 @@
 
 
 def _plan_head_s(work: Work, left_s: float) -> float:
-    """Plan how long to wait for the first event of one upstream."""
-    if not work.route.is_repeatable:
-        return left_s
-    wait_s = max(_MIN_HEAD_S, work.route.objective_s * _HEAD_SHARE)
-    if work.n_runs + 1 >= work.route.max_attempts:
+    """Plan how long to wait for the first event of one upstream.
+
+    A request that waits in the queue of a live engine waits on: another
+    engine would put it at the end of its own queue.
+    """
+    is_last = work.n_runs + 1 >= work.route.max_attempts
+    if is_last or not work.route.is_repeatable:
         return left_s
-    return min(left_s, wait_s)
+    return max(work.route.objective_s, left_s * _HEAD_SHARE)
 
 
 async def _relay(
@@ -282,18 +299,25 @@
         return None
     if work.n_runs + 1 >= work.route.max_attempts:
         return None
-    spare_s = time_left_s(work) - work.route.objective_s / 2
-    load = service_load(state, work.need.service)
-    step = plan_larger(
-        stream.ladder, answering.info.confidence, load, spare_s, _LADDER
+    largest = stream.ladder.models[-1] if stream.ladder.models else ''
+    doubt = Doubt(
+        confidence=answering.info.confidence,
+        load=service_load(state, work.need.service),
+        elapsed_s=trio.current_time() - work.call.request.arrived_s,
+        larger_s=forecast_s(
+            state.forecast, (work.route.name, largest), read_boot_s()
+        ),
+        objective_s=work.route.objective_s,
     )
+    step = plan_larger(stream.ladder, doubt, _LADDER)
     if step is not None:
         state.log.write(
             EventCode.answer_doubted,
             request=work.call.request_id,
-            model=first_model(stream.ladder),
-            confidence=answering.info.confidence,
-            load=round(load, 2),
+            model=current_model(stream.ladder),
+            confidence=doubt.confidence,
+            load=round(doubt.load, 2),
+            larger_s=round(doubt.larger_s, 3),
         )
     return step
 
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from turmericcrank_core.ladder import SpeedForecast
 from turmericcrank_core.membership import Members, Peer
 from turmericcrank_core.outcomes import OutcomeBook
 from turmericcrank_core.proofs import TableProof, proof_age_s
@@ -59,6 +60,7 @@
     outcomes: OutcomeBook = field(default_factory=OutcomeBook)
     sessions: SessionBook = field(default_factory=SessionBook)
     speeds: SpeedBook = field(default_factory=SpeedBook)
+    forecast: SpeedForecast = field(default_factory=SpeedForecast)
     budgets_by_service: dict[str, RetryBudget] = field(default_factory=dict)
     # Changed by rollout_control.
     rollouts_by_service: dict[str, RolloutState] = field(default_factory=dict)
--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -43,7 +43,8 @@
 
 _WAIT_S = 0.7
 _LOOK_PAUSE_S = 0.05
-_FAULT_PAUSE_S = 0.2
+_FAULT_PAUSE_S = 0.25
+_LONG_FAULT_PAUSE_S = 1
 _MS = 1000
 
 ApplyRows = Callable[[NodeState, FeedPage, bool], None]
@@ -123,7 +124,7 @@
         return
     if isinstance(outcome, StoreUnavailable):
         _note_lost(state, watch, outcome.reason)
-        await trio.sleep(_FAULT_PAUSE_S)
+        await trio.sleep(_plan_fault_pause_s(state))
         return
     _note_found(state, watch)
     state.store_offset_s = outcome.now_ms / _MS - read_boot_s()
@@ -137,6 +138,12 @@
         state.want_news()
 
 
+def _plan_fault_pause_s(state: NodeState) -> float:
+    """Plan the pause after a failed call; those of low rank ask first."""
+    rank = plan_rank(state.members, state.settings.node_id, read_boot_s())
+    return _FAULT_PAUSE_S if rank == 0 else _LONG_FAULT_PAUSE_S
+
+
 def _note_lost(state: NodeState, watch: TableWatch, reason: str) -> None:
     if not watch.is_lost:
         watch.is_lost = True
--- a/packages/node/src/turmericcrank_node/upstreams/candidates.py
+++ b/packages/node/src/turmericcrank_node/upstreams/candidates.py
@@ -83,13 +83,15 @@
 
 
 def service_load(state: NodeState, service: str) -> float:
-    """Give the share of the slots of a service that are in use."""
+    """Give the requests at a service, as a share of what keeps it busy."""
     usable = list(iter_usable(state.listed, service, read_boot_s()))
-    n_slots = sum(upstream.slots for upstream in usable)
+    n_busy = sum(
+        min(upstream.slots, _SETTINGS.busy_running) for upstream in usable
+    )
     n_running = sum(
         count_running(state, upstream.upstream_id) for upstream in usable
     )
-    return n_running / max(1, n_slots)
+    return n_running / max(1, n_busy)
 
 
 def _iter_candidates(
