Limit the exposure to a new version by construction

Ruled out: a longer canary with a larger share (the exposure is counted whether or not a fault shows). Change: a roll-out gives the new version 0.4 of the allowed share until a short last part; slowness is judged by the pause between events, over all routes, also for streams that are cut. Conclusion: what cannot be seen has to be bounded.

--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -29,6 +29,7 @@
     attempt_failed = 209
     answer_doubted = 210
     stream_broken = 211
+    attempt_ended = 212
     claim_won = 300
     claim_conflict = 301
     claim_undecided = 302
--- a/packages/core/src/turmericcrank_core/exposure.py
+++ b/packages/core/src/turmericcrank_core/exposure.py
@@ -25,7 +25,7 @@
     'mean_rating',
 )
 
-_SLOW_FACTOR = 3
+_SLOW_FACTOR = 2.2
 _SPEED_GAIN = 0.02
 
 
--- a/packages/core/src/turmericcrank_core/ladder.py
+++ b/packages/core/src/turmericcrank_core/ladder.py
@@ -90,9 +90,7 @@
     """
 
     mean_s_by_key: dict[tuple[str, str], float] = field(default_factory=dict)
-    noted_s_by_key: dict[tuple[str, str], float] = field(
-        default_factory=dict
-    )
+    noted_s_by_key: dict[tuple[str, str], float] = field(default_factory=dict)
 
 
 def current_model(ladder: Ladder) -> str:
--- a/packages/core/src/turmericcrank_core/rollout_phases.py
+++ b/packages/core/src/turmericcrank_core/rollout_phases.py
@@ -1,10 +1,11 @@
 """Moves a roll-out that the operators ordered through its phases.
 
-A roll-out begins with a small, constant share of new sessions. In its
-second half, with enough good answers, every request goes to the new
-version, and some time before its deadline it is done. A fault found at any
-moment before that rolls it back. The phase is one row in the platform's
-store, moved under a condition, so it never goes back whoever moves it.
+A version may be bad in a way that shows only under load, or late, or not at
+all in what is seen of it. So a roll-out limits by construction how many
+requests the new version gets before its deadline: a small, constant share
+of new sessions, then every request for a short last part. A fault found at
+any moment rolls it back. The phase is one row in the platform's store,
+moved under a condition, so it never goes back whoever moves it.
 """
 
 import enum
@@ -15,13 +16,16 @@
     'RolloutPhase',
     'RolloutState',
     'merge_state',
+    'plan_canary_share',
+    'plan_full_s',
     'plan_phase',
 )
 
-_FULL_AT = 0.53
-_FULL_AT_LATEST = 0.62
-_DONE_AT = 0.86
-_MIN_ANSWERS = 12
+_CANARY_PART = 0.4
+_FULL_PART = 0.66
+_MIN_FULL_S = 1.5
+_DONE_MARGIN_S = 0.7
+_MAX_FULL_SHARE = 0.5
 
 
 class RolloutPhase(enum.IntEnum):
@@ -72,15 +76,31 @@
     began_s: float
 
 
+def plan_canary_share(exposure_share: float) -> float:
+    """Plan the share of new sessions that a young roll-out gets.
+
+    Args:
+        exposure_share: Largest share of the requests of a service that a
+            version may get before its roll-out has to be done.
+    """
+    return _CANARY_PART * exposure_share
+
+
+def plan_full_s(duration_s: float, exposure_share: float) -> float:
+    """Plan how long before the deadline every request moves, in seconds."""
+    full_s = max(_MIN_FULL_S, _FULL_PART * exposure_share * duration_s)
+    return min(full_s, _MAX_FULL_SHARE * duration_s)
+
+
 def plan_phase(
-    state: RolloutState, n_answers: int, fault: str, now_s: float
+    state: RolloutState, fault: str, exposure_share: float, now_s: float
 ) -> RolloutPhase | None:
     """Plan the next phase.
 
     Args:
         state: Where the roll-out is.
-        n_answers: Answers of the new version that all nodes have seen.
         fault: By which sign the new version is bad; empty while it is not.
+        exposure_share: Largest share of the requests that it may get.
         now_s: Now, in seconds.
 
     Returns:
@@ -92,11 +112,11 @@
         return RolloutPhase.canary
     if fault:
         return RolloutPhase.rolled_back
-    part = (now_s - state.began_s) / state.order.duration_s
+    duration_s = state.order.duration_s
+    left_s = state.began_s + duration_s - now_s
     if state.phase is RolloutPhase.full:
-        return RolloutPhase.done if part >= _DONE_AT else None
-    is_proven = n_answers >= _MIN_ANSWERS or part >= _FULL_AT_LATEST
-    if part >= _FULL_AT and is_proven:
+        return RolloutPhase.done if left_s <= _DONE_MARGIN_S else None
+    if left_s <= plan_full_s(duration_s, exposure_share):
         return RolloutPhase.full
     return None
 
--- a/packages/core/src/turmericcrank_core/version_choice.py
+++ b/packages/core/src/turmericcrank_core/version_choice.py
@@ -23,8 +23,6 @@
     'note_versions',
 )
 
-_CANARY_SHARE = 0.1
-
 
 @dataclass(slots=True, frozen=True)
 class SessionUse:
@@ -102,6 +100,7 @@
     state: RolloutState | None,
     session_version: str,
     session_key: str,
+    canary_share: float,
 ) -> list[str]:
     """Choose the versions that may run a request, the best first.
 
@@ -110,6 +109,7 @@
         state: Its roll-out; None without one.
         session_version: Version of the session's last use; empty without.
         session_key: Key of the session or, without one, of the request.
+        canary_share: Share of new sessions that a young roll-out gets.
 
     Returns:
         Versions to try in turn; the later ones only when no upstream of
@@ -130,7 +130,7 @@
     if session_version:
         is_new = session_version == new
     else:
-        is_new = hash_uniform(f'rollout/{session_key}') < _CANARY_SHARE
+        is_new = hash_uniform(f'rollout/{session_key}') < canary_share
     return [new, *old] if is_new else old
 
 
--- a/packages/node/src/turmericcrank_node/control/rollout_control.py
+++ b/packages/node/src/turmericcrank_node/control/rollout_control.py
@@ -75,10 +75,7 @@
     now_s = read_boot_s()
     fault = _find_sign(state, rollout)
     planned = plan_phase(
-        rollout,
-        count_answers(state, order.service, order.number),
-        fault,
-        now_s,
+        rollout, fault, state.settings.bounds.exposure_share, now_s
     )
     if planned is None:
         control.wishes_by_service.pop(order.service, None)
--- a/packages/node/src/turmericcrank_node/control/version_evidence.py
+++ b/packages/node/src/turmericcrank_node/control/version_evidence.py
@@ -17,6 +17,7 @@
 from turmericcrank_node.state.node_state import NodeState
 
 __all__ = (
+    'ALL_ROUTES',
     'count_answers',
     'find_version_fault',
     'iter_own_evidence',
@@ -28,10 +29,11 @@
 _SETTINGS = ExposureSettings(
     good_error_share=0.04,
     bad_error_share=0.3,
-    good_slow_share=0.06,
-    bad_slow_share=0.4,
+    good_slow_share=0.1,
+    bad_slow_share=0.45,
     threshold=6,
 )
+ALL_ROUTES = '*'
 
 
 def make_version_key(service: str, number: int, route: str) -> str:
@@ -94,12 +96,9 @@
 
 def count_answers(state: NodeState, service: str, number: int) -> int:
     """Count the answers that all nodes have seen of a new version."""
-    prefix = make_version_key(service, number, '')
-    return sum(
-        evidence.total.n_answers
-        for key, evidence in _iter_evidence(state)
-        if key.startswith(prefix)
-    )
+    key = make_version_key(service, number, ALL_ROUTES)
+    evidence = state.evidence.pool.evidence_by_version.get(key)
+    return evidence.total.n_answers if evidence else 0
 
 
 def find_version_fault(state: NodeState, service: str, number: int) -> str:
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -62,7 +62,8 @@
         keep_s: Longest time for which clients may keep an address.
         retry_ratio: Retries allowed for each first attempt, over all nodes.
         retry_slack: Retries allowed beyond that.
-        objective_margin_s: Longest time for which an event may be held.
+        exposure_share: Largest share of a service's requests that a version
+            may get before its roll-out has to be done.
     """
 
     revoke_s: float = 5
@@ -71,7 +72,7 @@
     keep_s: float = 5
     retry_ratio: float = 0.5
     retry_slack: float = 50
-    objective_margin_s: float = 0.1
+    exposure_share: float = 0.15
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/node/src/turmericcrank_node/serving/plain_call.py
+++ b/packages/node/src/turmericcrank_node/serving/plain_call.py
@@ -14,6 +14,7 @@
     Work,
     begin_attempt,
     end_attempt,
+    is_slow_answer,
     judge_attempt,
     may_retry,
     refuse,
@@ -33,6 +34,7 @@
 _MAX_SENDINGS = 4
 _COME_BACK_S = 0.15
 _FIRST_TRY_SHARE = 0.45
+_FAST_S = 0.05
 
 
 @dataclass(slots=True, frozen=True)
@@ -130,10 +132,11 @@
     outcome: _Whole | AttemptFault = AttemptFault(
         FaultKind.unknown, 'no response in time'
     )
+    sent_s = trio.current_time()
     with trio.move_on_after(wait_s):
         outcome = await _exchange(state, work, upstream, sending, wait_s)
     work.n_sent += _is_sent(outcome)
-    _judge(state, work, upstream, outcome)
+    _judge(state, work, upstream, outcome, trio.current_time() - sent_s)
     return outcome
 
 
@@ -167,11 +170,15 @@
     work: Work,
     upstream: ListedUpstream,
     outcome: _Whole | AttemptFault,
+    needed_s: float,
 ) -> None:
     if isinstance(outcome, _Whole):
         is_error = outcome.status >= _SERVER_ERROR
         fault = f'status {outcome.status}' if is_error else ''
-        judge_attempt(state, work, upstream, fault)
+        is_slow = is_slow_answer(
+            state, upstream, work.route.name, needed_s, _FAST_S
+        )
+        judge_attempt(state, work, upstream, fault, is_slow=is_slow)
         return
     is_silent = outcome.kind is FaultKind.not_sent
     is_silent = is_silent or outcome.reason == 'no response in time'
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -31,6 +31,7 @@
     Work,
     begin_attempt,
     end_attempt,
+    is_slow_answer,
     judge_attempt,
     may_retry,
     refuse,
@@ -54,8 +55,7 @@
 _HEAD_SHARE = 0.6
 _MIN_HEAD_S = 0.8
 _LADDER = LadderSettings()
-_PAUSE_GAIN = 0.1
-_SLOW_FACTOR = 2.5
+_PAUSE_S = 0.02
 _MIN_EVENTS = 4
 
 
@@ -67,13 +67,32 @@
         ladder: Models of the request.
         last_event_id: Last event that the client has.
         is_client_gone: Whether the client has closed.
-        largest_ran: Whether a larger model was asked.
+        splitter: Bytes of an event that is not whole.
+        pace: Events of the current upstream.
     """
 
     ladder: Ladder
     last_event_id: str = ''
     is_client_gone: bool = False
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    pace: '_Pace' = field(default_factory=lambda: _Pace())
+
+
+@dataclass(slots=True)
+class _Pace:
+    """When the events of one upstream came.
+
+    Attributes:
+        n_events: Events so far.
+        first_s: When the first one came, on trio's clock.
+        last_s: When the last one came.
+        head_s: Time from the sending to the head of the response.
+    """
+
+    n_events: int = 0
+    first_s: float = 0
+    last_s: float = 0
+    head_s: float = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -196,17 +215,39 @@
         priority=_plan_priority(work),
         last_event_id=stream.last_event_id,
     )
+    outcome: _Outcome = AttemptFault(FaultKind.unknown, 'client gone')
+    try:
+        outcome = await _exchange(
+            state, work, exchange, stream, upstream, sending
+        )
+    finally:
+        _judge(state, work, stream, upstream, outcome)
+    return outcome
+
+
+async def _exchange(
+    state: NodeState,
+    work: Work,
+    exchange: ClientExchange,
+    stream: _Stream,
+    upstream: ListedUpstream,
+    sending: Sending,
+) -> _Outcome:
+    left_s = sending.time_left_s
     outcome: _Outcome = AttemptFault(FaultKind.unknown, 'deadline passed')
     with trio.move_on_after(left_s):
+        stream.pace = _Pace()
         sent_s = trio.current_time()
         opened = await open_attempt(
             state, work.call, sending, upstream, _plan_head_s(work, left_s)
         )
         if isinstance(opened, Answering):
+            head_s = trio.current_time() - sent_s
+            stream.pace = _Pace(head_s=head_s)
             note_speed(
                 state.forecast,
                 (work.route.name, sending.model),
-                trio.current_time() - sent_s,
+                head_s,
                 read_boot_s(),
             )
             try:
@@ -215,7 +256,6 @@
                 opened.connection.abort()
         else:
             outcome = opened
-    _judge(state, work, upstream, outcome)
     return outcome
 
 
@@ -328,6 +368,7 @@
     answering: Answering,
     events: list[StreamEvent],
 ) -> None:
+    _note_pace(stream.pace, len(events))
     raw = b''.join(event.raw for event in events)
     if exchange.is_started:
         is_sent = await exchange.send(raw)
@@ -341,6 +382,13 @@
         stream.last_event_id = ids[-1]
 
 
+def _note_pace(pace: _Pace, n_events: int) -> None:
+    pace.last_s = trio.current_time()
+    if pace.n_events == 0:
+        pace.first_s = pace.last_s
+    pace.n_events += n_events
+
+
 async def _finish(
     exchange: ClientExchange, stream: _Stream, answering: Answering
 ) -> _Outcome:
@@ -354,24 +402,57 @@
 
 
 def _judge(
-    state: NodeState, work: Work, upstream: ListedUpstream, outcome: _Outcome
+    state: NodeState,
+    work: Work,
+    stream: _Stream,
+    upstream: ListedUpstream,
+    outcome: _Outcome,
 ) -> None:
+    """Count how an attempt went."""
+    is_slow = _is_slow(state, stream, upstream)
+    pace = stream.pace
+    state.log.write(
+        EventCode.attempt_ended,
+        request=work.call.request_id,
+        upstream=upstream.upstream_id,
+        version=upstream.version,
+        route=work.route.name,
+        model=current_model(stream.ladder),
+        outcome=type(outcome).__name__,
+        head_s=round(pace.head_s, 3),
+        events=pace.n_events,
+        events_s=round(pace.last_s - pace.first_s, 3),
+        slow=is_slow,
+    )
     if isinstance(outcome, _Failed):
         status = outcome.answering.status
         is_error = status >= _SERVER_ERROR
         fault = f'status {status}' if is_error else ''
-        judge_attempt(state, work, upstream, fault)
+        judge_attempt(state, work, upstream, fault, is_slow=is_slow)
         return
     if not isinstance(outcome, AttemptFault):
-        judge_attempt(state, work, upstream, '')
+        judge_attempt(state, work, upstream, '', is_slow=is_slow)
         return
     if outcome.reason in {'client gone', 'deadline passed'}:
+        if is_slow:
+            judge_attempt(state, work, upstream, '', is_slow=True)
         return
     silent = {'no response in time', 'stalled'}
     is_silent = outcome.kind is FaultKind.not_sent or outcome.reason in silent
     judge_attempt(state, work, upstream, outcome.reason, is_silent=is_silent)
 
 
+def _is_slow(
+    state: NodeState, stream: _Stream, upstream: ListedUpstream
+) -> bool:
+    """Tell whether events came far slower than from other versions."""
+    pace = stream.pace
+    if pace.n_events < _MIN_EVENTS:
+        return False
+    pause_s = (pace.last_s - pace.first_s) / (pace.n_events - 1)
+    return is_slow_answer(state, upstream, 'pause', pause_s, _PAUSE_S)
+
+
 async def _refuse_fault(
     state: NodeState,
     work: Work,
--- a/packages/node/src/turmericcrank_node/serving/work.py
+++ b/packages/node/src/turmericcrank_node/serving/work.py
@@ -5,6 +5,7 @@
 import trio
 from turmericcrank_core.codes import CODES, ResultCode
 from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.exposure import judge_speed
 from turmericcrank_core.outcomes import note_outcome, rest_upstream
 from turmericcrank_core.retries import RetryBudget, spend_retry
 from turmericcrank_core.routing import ForwardRoute, Team
@@ -12,6 +13,7 @@
 from turmericcrank_core.version_choice import note_session
 
 from turmericcrank_node.control.version_evidence import (
+    ALL_ROUTES,
     make_version_key,
     note_version_answer,
 )
@@ -24,6 +26,7 @@
     'Work',
     'begin_attempt',
     'end_attempt',
+    'is_slow_answer',
     'judge_attempt',
     'may_retry',
     'refuse',
@@ -144,10 +147,38 @@
     if upstream.version != rollout.order.version:
         return
     if not is_silent:
-        key = make_version_key(
-            upstream.service, rollout.order.number, work.route.name
-        )
-        note_version_answer(state, key, upstream_id, is_bad, is_slow)
+        for route_name in (work.route.name, ALL_ROUTES):
+            key = make_version_key(
+                upstream.service, rollout.order.number, route_name
+            )
+            note_version_answer(state, key, upstream_id, is_bad, is_slow)
+
+
+def is_slow_answer(
+    state: NodeState,
+    upstream: ListedUpstream,
+    measure: str,
+    needed_s: float,
+    limit_s: float,
+) -> bool:
+    """Tell whether an answer took far longer than other versions need.
+
+    Args:
+        state: The node.
+        upstream: Where it ran.
+        measure: What was measured, so that like is compared with like.
+        needed_s: What it took, in seconds.
+        limit_s: Time that is fast enough in any case, in seconds.
+    """
+    prefix = f'{upstream.service}/{measure}'
+    known = state.versions.known_by_service.get(upstream.service, [])
+    others = [
+        f'{prefix}/{version}'
+        for version in known
+        if version != upstream.version
+    ]
+    own = f'{prefix}/{upstream.version}'
+    return judge_speed(state.speeds, own, others, needed_s, limit_s)
 
 
 def may_retry(state: NodeState, work: Work) -> bool:
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from turmericcrank_core.exposure import SpeedBook
 from turmericcrank_core.ladder import SpeedForecast
 from turmericcrank_core.membership import Members, Peer
 from turmericcrank_core.outcomes import OutcomeBook
@@ -19,20 +20,11 @@
 from turmericcrank_node.platform_port import Platform, RouterSettings
 from turmericcrank_node.state.evidence_book import EvidenceBook
 
-__all__ = ('NodeState', 'SpeedBook', 'describe_self', 'read_boot_s')
+__all__ = ('NodeState', 'describe_self', 'read_boot_s')
 
 _REVOKE_PART = 0.8
 
 
-@dataclass(slots=True)
-class SpeedBook:
-    """Usual pauses between events, by service, version and model."""
-
-    pause_s_by_key: dict[tuple[str, str, str], float] = field(
-        default_factory=dict
-    )
-
-
 @dataclass(slots=True)
 class NodeState:
     """State of one node."""
--- a/packages/node/src/turmericcrank_node/upstreams/candidates.py
+++ b/packages/node/src/turmericcrank_node/upstreams/candidates.py
@@ -9,7 +9,11 @@
     PlacementSettings,
     choose_upstream,
 )
-from turmericcrank_core.rollout_phases import RolloutPhase, RolloutState
+from turmericcrank_core.rollout_phases import (
+    RolloutPhase,
+    RolloutState,
+    plan_canary_share,
+)
 from turmericcrank_core.upstream_rows import ListedUpstream, iter_usable
 from turmericcrank_core.version_choice import choose_versions
 
@@ -48,6 +52,7 @@
         find_rollout(state, need.service),
         need.session_version,
         need.session_key,
+        plan_canary_share(state.settings.bounds.exposure_share),
     )
     for version in versions:
         candidates = [
