Leave a silent stream only when another attempt may follow

Ruled out: the drain (the process still ran), the engine (it was at work). Change: silence ends an attempt only when another may follow, at once if the host takes no connections, else after 3.2 s. A fault of the router answers 500 instead of closing the connection.

--- a/packages/node/src/turmericcrank_node/serving/router.py
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -34,10 +34,19 @@
 ) -> None:
     """Answer one request of a client."""
     state.n_requests += 1
+    call = state.platform.decode_call(request)
     try:
-        await _route_request(
-            state, state.platform.decode_call(request), exchange
+        await _route_request(state, call, exchange)
+    except Exception as error:  # noqa: BLE001
+        state.log.write(
+            EventCode.internal_fault,
+            request=call.request_id,
+            detail=repr(error),
         )
+        if not exchange.is_started:
+            await refuse(
+                state, exchange, ResultCode.internal, call.request_id
+            )
     finally:
         state.n_requests -= 1
 
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -43,6 +43,7 @@
     AttemptFault,
     FaultKind,
     open_attempt,
+    takes_connections,
 )
 from turmericcrank_node.upstreams.candidates import service_load
 
@@ -51,9 +52,9 @@
 _SERVER_ERROR = 500
 _MAX_SENDINGS = 6
 _COME_BACK_S = 0.15
-_STALL_SHARE = 0.9
+_LOOK_S = 0.8
+_MAX_SILENT_S = 3.2
 _HEAD_SHARE = 0.6
-_MIN_HEAD_S = 0.8
 _LADDER = LadderSettings()
 _PAUSE_S = 0.02
 _MIN_EVENTS = 4
@@ -100,6 +101,11 @@
     """The stream ended as whole."""
 
 
+@dataclass(slots=True, frozen=True)
+class _Stalled:
+    """The upstream is silent and another one may take over."""
+
+
 @dataclass(slots=True, frozen=True)
 class _Doubted:
     """The model doubts its answer; a larger one is to answer."""
@@ -115,6 +121,7 @@
     body: bytes
 
 
+_STALLED = _Stalled()
 _Outcome = _Done | _Doubted | _Failed | AttemptFault
 
 
@@ -251,7 +258,9 @@
                 read_boot_s(),
             )
             try:
-                outcome = await _relay(state, work, exchange, stream, opened)
+                outcome = await _relay(
+                    state, work, exchange, stream, upstream, opened
+                )
             finally:
                 opened.connection.abort()
         else:
@@ -273,8 +282,7 @@
     A request that waits in the queue of a live engine waits on: another
     engine would put it at the end of its own queue.
     """
-    is_last = work.n_runs + 1 >= work.route.max_attempts
-    if is_last or not work.route.is_repeatable:
+    if not _may_follow(work):
         return left_s
     return max(work.route.objective_s, left_s * _HEAD_SHARE)
 
@@ -284,6 +292,7 @@
     work: Work,
     exchange: ClientExchange,
     stream: _Stream,
+    upstream: ListedUpstream,
     answering: Answering,
 ) -> _Outcome:
     """Pass the events of one upstream on until they end."""
@@ -294,17 +303,10 @@
     if step is not None:
         return _Doubted(step)
     stream.splitter = EventSplitter()
-    stall_s = max(_MIN_HEAD_S, work.route.gap_objective_s * _STALL_SHARE)
     while True:
-        part: bytes | ReadFault | None = ReadFault.reset
-        is_silent = True
-        with trio.move_on_after(stall_s):
-            part = await read_body_part(answering.connection)
-            is_silent = False
-        if is_silent and work.route.is_repeatable:
+        part = await _read_part(work, upstream, answering)
+        if part is _STALLED:
             return AttemptFault(FaultKind.unknown, 'stalled')
-        if is_silent:
-            continue
         if isinstance(part, ReadFault):
             return AttemptFault(FaultKind.unknown, part.value)
         if part is None:
@@ -316,6 +318,37 @@
             return AttemptFault(FaultKind.unknown, 'client gone')
 
 
+async def _read_part(
+    work: Work, upstream: ListedUpstream, answering: Answering
+) -> bytes | ReadFault | _Stalled | None:
+    """Read the next part of a stream, however long it takes.
+
+    Silence ends the attempt only when another one may follow: at once if
+    the host takes no connections, else after a long pause.
+    """
+    silent_s: float = 0
+    while True:
+        part: bytes | ReadFault | None = None
+        is_silent = True
+        with trio.move_on_after(_LOOK_S):
+            part = await read_body_part(answering.connection)
+            is_silent = False
+        if not is_silent:
+            return part
+        silent_s += _LOOK_S
+        if _may_follow(work):
+            is_alive = await takes_connections(upstream)
+            if not is_alive or silent_s >= _MAX_SILENT_S:
+                return _STALLED
+
+
+def _may_follow(work: Work) -> bool:
+    """Tell whether another attempt may follow the current one."""
+    return work.route.is_repeatable and (
+        work.n_runs + 1 < work.route.max_attempts
+    )
+
+
 async def _read_failure(answering: Answering) -> _Outcome:
     parts = []
     while True:
@@ -335,9 +368,7 @@
     answering: Answering,
 ) -> int | None:
     """Plan whether a larger model answers, while the client has nothing."""
-    if exchange.is_started or not work.route.is_repeatable:
-        return None
-    if work.n_runs + 1 >= work.route.max_attempts:
+    if exchange.is_started or not _may_follow(work):
         return None
     largest = stream.ladder.models[-1] if stream.ladder.models else ''
     doubt = Doubt(
--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -19,7 +19,13 @@
 from turmericcrank_node.platform_port import AnswerInfo, Call, Sending
 from turmericcrank_node.state.node_state import NodeState
 
-__all__ = ('Answering', 'AttemptFault', 'FaultKind', 'open_attempt')
+__all__ = (
+    'Answering',
+    'AttemptFault',
+    'FaultKind',
+    'open_attempt',
+    'takes_connections',
+)
 
 _CONNECT_S = 0.4
 _LOOK_S = 1.2
@@ -134,14 +140,21 @@
     upstream: ListedUpstream, scope: trio.CancelScope
 ) -> None:
     """End the wait for an upstream that takes no connections any more."""
-    host, port = split_address(upstream.address)
     while True:
         await trio.sleep(_LOOK_S)
-        probe = await connect_upstream(host, port, _CONNECT_S)
-        if isinstance(probe, ConnectFault):
+        if not await takes_connections(upstream):
             scope.cancel()
             return
-        probe.abort()
+
+
+async def takes_connections(upstream: ListedUpstream) -> bool:
+    """Tell whether the host of an upstream takes connections."""
+    host, port = split_address(upstream.address)
+    probe = await connect_upstream(host, port, _CONNECT_S)
+    if isinstance(probe, ConnectFault):
+        return False
+    probe.abort()
+    return True
 
 
 def _check_head(
