Serve metrics, follow the settings file, and pass failures on again

Ruled out: the version itself (its failures were answered by us, unsigned). Change: outcomes are compared by identity; the test that let it pass now asks for the upstream's body and signature, and failed first. Conclusion: a test of a passed-on failure has to look at its bytes.

--- a/packages/node/src/turmericcrank_node/event_log.py
+++ b/packages/node/src/turmericcrank_node/event_log.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -69,11 +70,18 @@
     Args:
         process_id: Name of the process on the time line.
         path: File to write to; ``-`` for standard output.
+        count: Told the name of each event, written or left out.
     """
 
-    __slots__ = ('_clock', '_logger', '_process_id', '_queue')
+    __slots__ = ('_clock', '_count', '_logger', '_process_id', '_queue')
 
-    def __init__(self, process_id: str, path: str) -> None:
+    def __init__(
+        self,
+        process_id: str,
+        path: str,
+        count: Callable[[str], None] | None = None,
+    ) -> None:
+        self._count = count
         self._process_id = process_id
         self._clock = ClockState()
         self._queue = _LineQueue()
@@ -98,6 +106,8 @@
             event: Number of the event in the catalogue.
             fields: What belongs to it, such as request or revision.
         """
+        if self._count is not None:
+            self._count(event.name)
         if not self._take_budget(event):
             return
         entry = {
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -279,6 +279,8 @@
             where to connect; None for another request.
         encode_addresses: Gives the body of the answer to it.
         is_health_question: Tells whether a request asks for readiness.
+        reload_settings: Reads the settings again; None when they are not
+            valid.
     """
 
     store: StorePort
@@ -293,3 +295,4 @@
     decode_address_question: Callable[[ClientRequest], str | None]
     encode_addresses: Callable[[list[str], float], bytes]
     is_health_question: Callable[[ClientRequest], bool]
+    reload_settings: Callable[[], RouterSettings | None]
--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import uuid
+from dataclasses import replace
 from functools import partial
 
 import trio
@@ -20,9 +21,11 @@
 from turmericcrank_node.serving.information import (
     answer_address_question,
     answer_health_question,
+    answer_metrics_question,
 )
 from turmericcrank_node.serving.router import answer_request
 from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.state.router_metrics import make_metrics
 from turmericcrank_node.state.table_watch import serve_table_watch
 
 __all__ = ('make_state', 'run_router_node')
@@ -31,14 +34,21 @@
 _REFUSE_AFTER_S = 2.9
 _LAST_MARGIN_S = 0.4
 _LOOK_PAUSE_S = 0.05
+_SETTINGS_PAUSE_S = 2
 
 
 def make_state(settings: RouterSettings, platform: Platform) -> NodeState:
     """Make the state of a node that knows nothing yet."""
+    metrics = make_metrics()
+
+    def count(event: str) -> None:
+        metrics.events.labels(event).inc()
+
     return NodeState(
         settings=settings,
         platform=platform,
-        log=EventLog(settings.node_id, '-'),
+        log=EventLog(settings.node_id, '-', count),
+        metrics=metrics,
         incarnation=uuid.uuid4().hex,
         random_source=random.Random(),
     )
@@ -55,12 +65,18 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(serve_log, state.log)
         state.log.write(EventCode.node_started, incarnation=state.incarnation)
-        for task in (serve_table_watch, serve_peer_news, serve_rollouts):
+        for task in (
+            serve_table_watch,
+            serve_peer_news,
+            serve_rollouts,
+            _watch_settings,
+        ):
             nursery.start_soon(task, state)
         for address, answer in (
             (settings.addresses.client, answer_request),
             (settings.addresses.health, answer_health_question),
             (settings.addresses.directory, answer_address_question),
+            (settings.addresses.metrics, answer_metrics_question),
         ):
             if address:
                 nursery.start_soon(_serve_clients, state, address, answer)
@@ -110,10 +126,32 @@
         async for number in signals:
             if number != signal.SIGHUP:
                 break
-            state.log.write(EventCode.settings_reloaded, changed=False)
+            state.log.write(EventCode.settings_reloaded, changed=_reload(state))
     await _drain(state)
 
 
+async def _watch_settings(state: NodeState) -> None:
+    """Take changes of the settings that come without a signal."""
+    while True:
+        await trio.sleep(_SETTINGS_PAUSE_S)
+        if _reload(state):
+            state.log.write(EventCode.settings_reloaded, changed=True)
+
+
+def _reload(state: NodeState) -> bool:
+    """Read the settings again; tell whether anything is different.
+
+    The addresses that a process listens at stay as they were at its start.
+    """
+    found = state.platform.reload_settings()
+    if found is None:
+        return False
+    fresh = replace(found, addresses=state.settings.addresses)
+    is_changed = fresh != state.settings
+    state.settings = fresh
+    return is_changed
+
+
 async def _drain(state: NodeState) -> None:
     """Leave the addresses, serve who still comes, refuse, and end."""
     state.is_stopping = True
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -53,6 +53,7 @@
         is_last: Whether the connection closes after this answer.
         is_started: Whether the head of the answer has been sent.
         is_whole: Whether the answer has been sent to its end.
+        status: Status of the answer; 0 before its head is sent.
     """
 
     stream: trio.SocketStream
@@ -60,6 +61,7 @@
     is_last: bool = False
     is_started: bool = False
     is_whole: bool = False
+    status: int = 0
 
     async def start(
         self, status: int, headers: Headers, first: bytes = b''
@@ -69,12 +71,7 @@
         Returns:
             False when the client has gone.
         """
-        self.is_started = True
-        sent_headers = list(headers)
-        if self.is_last:
-            sent_headers.append((b'connection', b'close'))
-        response = h11.Response(status_code=status, headers=sent_headers)
-        raw = self.parser.send(response) or b''
+        raw = self._write_head(status, headers)
         if first:
             raw += self.parser.send(h11.Data(data=first)) or b''
         return await self._write(raw)
@@ -92,17 +89,21 @@
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer."""
         length = (b'content-length', str(len(body)).encode())
-        self.is_started = True
-        sent_headers = [*headers, length]
-        if self.is_last:
-            sent_headers.append((b'connection', b'close'))
-        response = h11.Response(status_code=status, headers=sent_headers)
-        raw = self.parser.send(response) or b''
+        raw = self._write_head(status, [*headers, length])
         if body:
             raw += self.parser.send(h11.Data(data=body)) or b''
         raw += self.parser.send(h11.EndOfMessage()) or b''
         self.is_whole = await self._write(raw)
 
+    def _write_head(self, status: int, headers: Headers) -> bytes:
+        self.is_started = True
+        self.status = status
+        sent_headers = list(headers)
+        if self.is_last:
+            sent_headers.append((b'connection', b'close'))
+        response = h11.Response(status_code=status, headers=sent_headers)
+        return self.parser.send(response) or b''
+
     async def _write(self, raw: bytes) -> bool:
         if not raw:
             return True
--- a/packages/node/src/turmericcrank_node/serving/information.py
+++ b/packages/node/src/turmericcrank_node/serving/information.py
@@ -1,7 +1,7 @@
-"""Answers the two questions that are asked of a node itself.
+"""Answers the questions that are asked of a node itself.
 
-Clients ask which addresses to use; the platform asks whether this node
-takes clients.
+Clients ask which addresses to use, the platform asks whether this node
+takes clients, and a scraper asks for its metrics.
 """
 
 from http import HTTPStatus
@@ -18,11 +18,17 @@
     describe_self,
     read_boot_s,
 )
+from turmericcrank_node.state.router_metrics import write_metrics
 
-__all__ = ('answer_address_question', 'answer_health_question')
+__all__ = (
+    'answer_address_question',
+    'answer_health_question',
+    'answer_metrics_question',
+)
 
 _KEEP_S = 1
 _JSON = (b'content-type', b'application/json')
+_TEXT = (b'content-type', b'text/plain; version=0.0.4')
 
 
 async def answer_address_question(
@@ -54,6 +60,17 @@
     await exchange.answer(status, [], b'')
 
 
+async def answer_metrics_question(
+    state: NodeState, request: ClientRequest, exchange: ClientExchange
+) -> None:
+    """Give the metrics of this node to a scraper."""
+    if request.method != b'GET':
+        await _answer_unknown(exchange)
+        return
+    body = write_metrics(state.metrics)
+    await exchange.answer(HTTPStatus.OK, [_TEXT], body)
+
+
 async def _answer_unknown(exchange: ClientExchange) -> None:
     code = CODES[ResultCode.unknown_route]
     await exchange.answer(code.http_status, [], code.text.encode())
--- a/packages/node/src/turmericcrank_node/serving/plain_call.py
+++ b/packages/node/src/turmericcrank_node/serving/plain_call.py
@@ -132,7 +132,11 @@
     with trio.move_on_after(wait_s):
         outcome = await _exchange(state, work, upstream, sending, wait_s)
     work.n_sent += _is_sent(outcome)
-    _judge(state, work, upstream, outcome, trio.current_time() - sent_s)
+    needed_s = trio.current_time() - sent_s
+    state.metrics.head_s.labels(upstream.service, upstream.version).observe(
+        needed_s
+    )
+    _judge(state, work, upstream, outcome, needed_s)
     return outcome
 
 
--- a/packages/node/src/turmericcrank_node/serving/router.py
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -116,6 +116,7 @@
     budget = state.budgets_by_service.get(work.need.service)
     if budget is not None:
         earn_retry(budget)
+    seconds = state.metrics.request_s
     try:
         if work.route.kind is CallKind.stream:
             await answer_stream_call(state, work, exchange)
@@ -128,3 +129,7 @@
             sent=work.n_sent,
         )
         raise
+    finally:
+        seconds.labels(work.route.kind.value, exchange.status).observe(
+            trio.current_time() - call.request.arrived_s
+        )
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -206,6 +206,9 @@
         return opened
     work.n_sent += 1
     progress.pace.head_s = trio.current_time() - sent_s
+    state.metrics.head_s.labels(upstream.service, upstream.version).observe(
+        progress.pace.head_s
+    )
     note_speed(
         state.forecast,
         (work.route.name, sending.model),
@@ -249,7 +252,7 @@
     """Count how an attempt went."""
     is_slow = _is_slow(state, progress.pace, upstream)
     _log_attempt(state, work, progress, upstream, outcome, is_slow)
-    if outcome in {_CLIENT_GONE, _DEADLINE}:
+    if outcome is _CLIENT_GONE or outcome is _DEADLINE:
         if is_slow:
             judge_attempt(state, work, upstream, '', is_slow=True)
     elif isinstance(outcome, AttemptFault):
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -19,6 +19,7 @@
 from turmericcrank_node.event_log import EventLog
 from turmericcrank_node.platform_port import Platform, RouterSettings
 from turmericcrank_node.state.evidence_book import EvidenceBook
+from turmericcrank_node.state.router_metrics import RouterMetrics
 
 __all__ = ('NodeState', 'describe_self', 'read_boot_s')
 
@@ -34,6 +35,7 @@
     log: EventLog
     incarnation: str
     random_source: random.Random
+    metrics: RouterMetrics
     # Changed by table_watch.
     table: RouteTable | None = None
     configuration_proof: TableProof = field(default_factory=TableProof)
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/state/router_metrics.py
@@ -0,0 +1,66 @@
+"""Counters and latency histograms of one node, as text for a scraper.
+
+Every log event is counted here too, so that a count is whole even where
+the log leaves lines out.
+"""
+
+from dataclasses import dataclass
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client.exposition import generate_latest
+
+__all__ = ('RouterMetrics', 'make_metrics', 'write_metrics')
+
+_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.5, 1, 2, 4, 8, 15)
+
+
+@dataclass(slots=True, frozen=True)
+class RouterMetrics:
+    """The metrics of one node.
+
+    Attributes:
+        registry: All of them.
+        events: Log events, by name.
+        request_s: Time from the head of a request to the end of its
+            answer, by kind of route and result code, in seconds.
+        head_s: Time until an upstream begins to answer, by service and
+            version, in seconds.
+        store_s: Time of a call to the store, by outcome, in seconds.
+    """
+
+    registry: CollectorRegistry
+    events: Counter
+    request_s: Histogram
+    head_s: Histogram
+    store_s: Histogram
+
+
+def make_metrics() -> RouterMetrics:
+    """Make the metrics of a node, all at zero."""
+    registry = CollectorRegistry()
+
+    def make_histogram(name: str, about: str, *labels: str) -> Histogram:
+        return Histogram(
+            name, about, labels, buckets=_BUCKETS_S, registry=registry
+        )
+
+    return RouterMetrics(
+        registry,
+        Counter(
+            'turmericcrank_events', 'Log events.', ('event',), registry=registry
+        ),
+        make_histogram(
+            'turmericcrank_request_seconds', 'Requests.', 'kind', 'code'
+        ),
+        make_histogram(
+            'turmericcrank_head_seconds', 'Heads.', 'service', 'version'
+        ),
+        make_histogram(
+            'turmericcrank_store_seconds', 'Calls to the store.', 'outcome'
+        ),
+    )
+
+
+def write_metrics(metrics: RouterMetrics) -> bytes:
+    """Write all metrics in the text format of Prometheus."""
+    return bytes(generate_latest(metrics.registry))
--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -118,6 +118,9 @@
         outcome = await state.platform.store.read_changes(
             watch.table, proof.read_version, wait_s
         )
+    state.metrics.store_s.labels(type(outcome).__name__).observe(
+        max(0, read_boot_s() - asked_s - wait_s)
+    )
     if isinstance(outcome, HistoryLost):
         state.log.write(EventCode.store_history_lost, table=watch.table)
         proof.read_version = -1
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -118,6 +118,7 @@
             [found, keep_s]
         ).encode(),
         is_health_question=lambda request: request.target == b'/ready',
+        reload_settings=lambda: None,
     )
 
 
--- a/tests/serving/test_standing.py
+++ b/tests/serving/test_standing.py
@@ -2,6 +2,7 @@
 
 import trio
 from turmericcrank_core.routing import CallKind, ClientLimits
+from turmericcrank_node.state.router_metrics import write_metrics
 
 from tests.router_builders import KEY, make_route, make_table
 from tests.router_fakes import (
@@ -145,3 +146,11 @@
     seen, _ = _ask(state)
     assert seen.startswith(b'HTTP/1.1 500')
     assert 'internal_fault' in state.log.names()
+
+
+def test_metrics_count_requests_and_events():
+    state = _state()
+    _ask(state)
+    text = write_metrics(state.metrics).decode()
+    assert 'turmericcrank_request_seconds_count{code="200"' in text
+    assert 'turmericcrank_head_seconds_count{service="engine"' in text
--- a/tests/serving/test_stream_calls.py
+++ b/tests/serving/test_stream_calls.py
@@ -104,10 +104,14 @@
 
 
 def test_a_failure_of_the_upstream_is_passed_on_as_it_is():
-    failure = [answer_bytes(b'no', status=500)]
-    seen, requests, _ = _ask([failure], until=b'\r\n\r\nno', max_attempts=1)
+    """Replays an incident: a bad version fails, and the router with it."""
+    failure = [answer_bytes(b'no model', status=500, signed='abc')]
+    seen, requests, state = _ask([failure], until=b'model', max_attempts=1)
     assert seen.startswith(b'HTTP/1.1 500')
+    assert b'signed: abc' in seen
+    assert seen.endswith(b'no model')
     assert len(requests) == 1
+    assert 'internal_fault' not in state.log.names()
 
 
 def test_a_client_that_leaves_ends_the_work_at_once():
