Tell a slow version by the median pause between its events

Ruled out: too few requests (26 answers were seen before the deadline). Change: the median of a stream's pauses; a stall raises the usual one by a bounded amount; answers without a pace count for errors only. Tests for the evidence, for the phases in the store and for the messages between nodes.

--- a/packages/core/src/turmericcrank_core/exposure.py
+++ b/packages/core/src/turmericcrank_core/exposure.py
@@ -31,7 +31,7 @@
 _ROLLOUT_BAD_ERRORS = 0.3
 _ROLLOUT_GOOD_SLOW = 0.1
 _ROLLOUT_BAD_SLOW = 0.45
-_SPEED_GAIN = 0.02
+_SPEED_GAIN = 0.05
 
 
 @dataclass(slots=True, frozen=True)
@@ -166,7 +166,9 @@
     known = [means[other] for other in others if other in means]
     usual_s = min(known, default=own_mean_s)
     slow = first_token_s > max(limit_s, _SLOW_FACTOR * usual_s)
-    means[version] = own_mean_s + _SPEED_GAIN * (first_token_s - own_mean_s)
+    # A rare stall must not raise what counts as usual.
+    noted_s = min(first_token_s, _SLOW_FACTOR * own_mean_s)
+    means[version] = own_mean_s + _SPEED_GAIN * (noted_s - own_mean_s)
     return slow
 
 
--- a/packages/node/src/turmericcrank_node/control/version_evidence.py
+++ b/packages/node/src/turmericcrank_node/control/version_evidence.py
@@ -12,6 +12,7 @@
     absorb_counts,
     find_fault,
 )
+from turmericcrank_core.rollout_phases import RolloutOrder
 
 from turmericcrank_node.state.evidence_book import EvidenceCounts
 from turmericcrank_node.state.node_state import NodeState
@@ -28,6 +29,7 @@
 
 _SETTINGS = ROLLOUT_SETTINGS
 ALL_ROUTES = '*'
+_PACE = '*pace'
 
 
 def make_version_key(service: str, number: int, route: str) -> str:
@@ -37,20 +39,48 @@
 
 def note_version_answer(
     state: NodeState,
-    version_key: str,
+    order: RolloutOrder,
     upstream_id: str,
+    route: str,
     is_error: bool,
-    is_slow: bool,
+    is_slow: bool | None,
+) -> None:
+    """Count one answer of a new version that this node saw.
+
+    Args:
+        state: The node.
+        order: The order by which the version is new.
+        upstream_id: Where the answer came from.
+        route: Name of its route.
+        is_error: Whether it failed.
+        is_slow: Whether it came far slower than usual; None if unknown.
+    """
+    for name in (route, ALL_ROUTES):
+        key = make_version_key(order.service, order.number, name)
+        _count(state, key, upstream_id, EvidenceCounts(1, int(is_error), 0))
+    if is_slow is not None:
+        key = make_version_key(order.service, order.number, _PACE)
+        _count(state, key, upstream_id, EvidenceCounts(1, 0, int(is_slow)))
+
+
+def _count(
+    state: NodeState,
+    version_key: str,
+    upstream_id: str,
+    added: EvidenceCounts,
 ) -> None:
-    """Count one answer of a new version that this node saw."""
     counts = state.evidence.own_by_key.setdefault(
         (version_key, upstream_id), EvidenceCounts()
     )
-    counts.n_answers += 1
-    counts.n_errors += is_error
-    counts.n_slow += is_slow and not is_error
-    added = UpstreamCounts(1, int(is_error), int(is_slow and not is_error))
-    _absorb(state, version_key, upstream_id, added)
+    counts.n_answers += added.n_answers
+    counts.n_errors += added.n_errors
+    counts.n_slow += added.n_slow
+    _absorb(
+        state,
+        version_key,
+        upstream_id,
+        UpstreamCounts(added.n_answers, added.n_errors, added.n_slow),
+    )
 
 
 def note_told_evidence(
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -6,6 +6,7 @@
 answers anew.
 """
 
+import statistics
 from http import HTTPStatus
 
 import trio
@@ -52,8 +53,8 @@
 
 _MAX_SENDINGS = 6
 _HEAD_SHARE = 0.6
-_PAUSE_S = 0.02
-_MIN_EVENTS = 4
+_PAUSE_S = 0.01
+_MIN_PAUSES = 2
 _LOWEST_PRIORITY = 9
 _PRIORITY_STEP = 2
 _DEADLINE = AttemptFault(FaultKind.unknown, 'deadline passed')
@@ -283,7 +284,7 @@
     progress: StreamProgress,
     upstream: ListedUpstream,
     outcome: StreamOutcome,
-    is_slow: bool,
+    is_slow: bool | None,
 ) -> None:
     pace = progress.pace
     state.log.write(
@@ -297,13 +298,17 @@
         head_s=round(pace.head_s, 3),
         events=pace.n_events,
         events_s=round(pace.last_s - pace.first_s, 3),
+        pause_s=round(statistics.median(pace.pauses_s or [0]), 4),
         slow=is_slow,
     )
 
 
-def _is_slow(state: NodeState, pace: Pace, upstream: ListedUpstream) -> bool:
-    """Tell whether events came far slower than from other versions."""
-    if pace.n_events < _MIN_EVENTS:
-        return False
-    pause_s = (pace.last_s - pace.first_s) / (pace.n_events - 1)
+def _is_slow(
+    state: NodeState, pace: Pace, upstream: ListedUpstream
+) -> bool | None:
+    """Tell whether events came far slower; None when too few came."""
+    if len(pace.pauses_s) < _MIN_PAUSES:
+        return None
+    # The median leaves out the pauses in which prompts of others are read.
+    pause_s = statistics.median(pace.pauses_s)
     return is_slow_answer(state, upstream, 'pause', pause_s, _PAUSE_S)
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -175,9 +175,12 @@
 
 
 def _note_pace(pace: Pace, n_events: int) -> None:
-    pace.last_s = trio.current_time()
+    now_s = trio.current_time()
     if pace.n_events == 0:
-        pace.first_s = pace.last_s
+        pace.first_s = now_s
+    else:
+        pace.pauses_s.append((now_s - pace.last_s) / n_events)
+    pace.last_s = now_s
     pace.n_events += n_events
 
 
--- a/packages/node/src/turmericcrank_node/serving/stream_state.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_state.py
@@ -28,12 +28,14 @@
         first_s: When the first one came.
         last_s: When the last one came.
         head_s: Time from the sending to the head of the response.
+        pauses_s: Pauses between events.
     """
 
     n_events: int = 0
     first_s: float = 0
     last_s: float = 0
     head_s: float = 0
+    pauses_s: list[float] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/packages/node/src/turmericcrank_node/serving/work.py
+++ b/packages/node/src/turmericcrank_node/serving/work.py
@@ -13,8 +13,6 @@
 from turmericcrank_core.version_choice import note_session
 
 from turmericcrank_node.control.version_evidence import (
-    ALL_ROUTES,
-    make_version_key,
     note_version_answer,
 )
 from turmericcrank_node.platform_port import Call
@@ -117,7 +115,7 @@
     upstream: ListedUpstream,
     fault: str,
     *,
-    is_slow: bool = False,
+    is_slow: bool | None = None,
     is_silent: bool = False,
 ) -> None:
     """Count how an attempt went, for its upstream and for its version.
@@ -127,7 +125,7 @@
         work: The request.
         upstream: Where it was.
         fault: What went wrong; empty when nothing did.
-        is_slow: Whether it came far slower than usual.
+        is_slow: Whether it came far slower than usual; None if unknown.
         is_silent: Whether the upstream did not speak at all; then it rests,
             and its version is not blamed.
     """
@@ -151,11 +149,9 @@
     if upstream.version != rollout.order.version:
         return
     if not is_silent:
-        for route_name in (work.route.name, ALL_ROUTES):
-            key = make_version_key(
-                upstream.service, rollout.order.number, route_name
-            )
-            note_version_answer(state, key, upstream_id, is_bad, is_slow)
+        note_version_answer(
+            state, rollout.order, upstream_id, work.route.name, is_bad, is_slow
+        )
 
 
 def is_slow_answer(
--- /dev/null
+++ b/tests/control/test_rollout_control.py
@@ -0,0 +1,176 @@
+"""Evidence on a version, and its roll-out in the store."""
+
+import trio
+from turmericcrank_core.rollout_phases import (
+    RolloutPhase,
+    RolloutState,
+)
+from turmericcrank_node.control.rollout_control import serve_rollouts
+from turmericcrank_node.control.version_evidence import (
+    ALL_ROUTES,
+    count_answers,
+    find_version_fault,
+    iter_own_evidence,
+    make_version_key,
+    note_told_evidence,
+    note_version_answer,
+)
+from turmericcrank_node.platform_port import RolloutRow
+from turmericcrank_node.state.evidence_book import EvidenceCounts
+from turmericcrank_node.state.node_state import read_boot_s
+from turmericcrank_node.upstreams.candidates import Need, choose, find_rollout
+
+from tests.router_builders import (
+    make_order,
+    make_route,
+    make_table,
+    make_upstream,
+)
+from tests.router_fakes import FakeRows, list_upstreams, make_node_state
+
+_ORDER = make_order(duration_s=30.0)
+
+
+def _make_state(rows=None, node_id='n1', phase=RolloutPhase.ordered, age_s=0):
+    state = make_node_state(make_table(make_route()), rows, node_id)
+    state.rollouts_by_service['engine'] = RolloutState(
+        _ORDER, phase, read_boot_s() - age_s
+    )
+    return state
+
+
+def _note(state, number, *, is_error=False, is_slow=None, route='quotes'):
+    note_version_answer(
+        state, _ORDER, f'u{number % 4}', route, is_error, is_slow
+    )
+
+
+def _fault(state):
+    return find_version_fault(state, 'engine', _ORDER.number)
+
+
+def _play(*states, seconds=0.6):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            for state in states:
+                nursery.start_soon(serve_rollouts, state)
+            await trio.sleep(seconds)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_a_version_that_fails_half_of_its_answers_is_found_soon():
+    state = _make_state()
+    for number in range(24):
+        _note(state, number, is_error=number % 2 == 0)
+    assert _fault(state) == 'errors'
+
+
+def test_a_version_that_fails_on_one_route_only_is_found():
+    state = _make_state()
+    for number in range(80):
+        _note(state, number, is_error=number % 8 == 0, route='plans')
+        _note(state, number, is_error=number % 2 == 0, route='quotes')
+        _note(state, number, route='replies')
+    assert _fault(state) == 'errors'
+
+
+def test_one_bad_upstream_condemns_no_version():
+    state = _make_state()
+    for number in range(40):
+        _note(state, number, is_error=number % 4 == 0)
+    assert _fault(state) == ''
+
+
+def test_answers_without_a_pace_say_nothing_of_slowness():
+    """Replays a slow version half of whose answers were doubted."""
+    state = _make_state()
+    for number in range(12):
+        _note(state, number)
+        _note(state, number, is_slow=True)
+    assert _fault(state) == 'slow'
+
+
+def test_a_healthy_version_is_not_stopped():
+    state = _make_state()
+    for number in range(200):
+        _note(
+            state, number, is_error=number % 50 == 0, is_slow=number % 12 == 0
+        )
+    assert _fault(state) == ''
+
+
+def test_evidence_of_all_nodes_is_added_up_once():
+    state = _make_state()
+    key = make_version_key('engine', _ORDER.number, ALL_ROUTES), 'u1'
+    for n_answers in (3, 5, 5):
+        note_told_evidence(
+            state, 'n2/a', {key: EvidenceCounts(n_answers, 0, 0)}
+        )
+    _note(state, 1)
+    assert count_answers(state, 'engine', _ORDER.number) == 6
+
+
+def test_evidence_is_told_only_while_its_rollout_goes_on():
+    state = _make_state(phase=RolloutPhase.canary)
+    _note(state, 1)
+    assert list(iter_own_evidence(state))
+    state.rollouts_by_service['engine'] = RolloutState(
+        _ORDER, RolloutPhase.done, 0
+    )
+    assert not list(iter_own_evidence(state))
+
+
+def test_a_good_rollout_is_written_phase_by_phase():
+    rows = FakeRows()
+    state = _make_state(rows)
+    _play(state)
+    assert rows.rollouts['engine'].phase is RolloutPhase.canary
+    state.rollouts_by_service['engine'] = RolloutState(
+        _ORDER, RolloutPhase.canary, read_boot_s() - 28
+    )
+    _play(state)
+    assert rows.rollouts['engine'].phase is RolloutPhase.full
+    state.rollouts_by_service['engine'] = RolloutState(
+        _ORDER, RolloutPhase.full, read_boot_s() - 29.5
+    )
+    _play(state)
+    assert rows.rollouts['engine'].phase is RolloutPhase.done
+
+
+def test_two_nodes_that_act_at_once_write_each_phase_once():
+    rows = FakeRows()
+    states = [_make_state(rows, name) for name in ('n1', 'n2')]
+    _play(*states)
+    assert rows.version == 2
+    for state in states:
+        phase = state.rollouts_by_service['engine'].phase
+        assert phase is RolloutPhase.canary
+
+
+def test_a_bad_version_gets_nothing_while_the_store_is_away():
+    rows = FakeRows(is_down=True)
+    state = _make_state(rows, phase=RolloutPhase.full, age_s=5)
+    upstreams = make_upstream('u0'), make_upstream('u1', version='v2')
+    list_upstreams(state, *upstreams)
+    for number in range(24):
+        _note(state, number, is_error=True)
+    _play(state)
+    assert find_rollout(state, 'engine').phase is RolloutPhase.rolled_back
+    for number in range(40):
+        need = Need('engine', f's{number}', 'v2', '')
+        assert choose(state, need, frozenset()).version == 'v1'
+    rows.is_down = False
+    _play(state)
+    assert rows.rollouts['engine'].phase is RolloutPhase.rolled_back
+
+
+def test_a_node_that_starts_in_the_middle_takes_the_phase_from_the_store():
+    rows = FakeRows()
+    rows.rollouts['engine'] = RolloutRow(_ORDER, RolloutPhase.rolled_back, 0, 7)
+    state = _make_state(rows)
+    _play(state)
+    rollout = state.rollouts_by_service['engine']
+    assert rollout.phase is RolloutPhase.rolled_back
+    assert rows.rollouts['engine'].version == 7
--- a/tests/core/test_versions.py
+++ b/tests/core/test_versions.py
@@ -214,3 +214,20 @@
     settings = CascadeSettings(target=80, n_tiers=3, max_trial_share=0)
     policy = CascadePolicy(settings)
     assert choose_way(policy, 'c', random.Random(1)).tier == 2
+
+
+def test_a_slow_version_is_told_from_one_whose_answers_stall_at_times():
+    """Replays a slow version: pauses of 25 ms against 98 ms, some stalls."""
+    book = SpeedBook()
+    random_source = random.Random(4)
+    flagged = {'old': 0, 'new': 0}
+    for _ in range(200):
+        for version, usual_s in (('old', 0.025), ('new', 0.098)):
+            is_stalled = random_source.random() < 0.1
+            pause_s = 0.6 if is_stalled else usual_s
+            other = 'new' if version == 'old' else 'old'
+            flagged[version] += judge_speed(
+                book, version, [other], pause_s, 0.01
+            )
+    assert flagged['new'] > 180
+    assert flagged['old'] < 30
