Give each module of the node a folder and a plain name

Cause: 38 modules stood side by side, some named by metaphors (desk, shelf, gate, conductor). Change: api, membership, state, control, serving and upstreams; for example tables_desk is state/table_patches, conductor is control/rollout_leader, bill_desk is api/bill_writer. Ruled out: moving the interface of our own onto the new path in the same step; it would change what the tests of that interface see.

--- a/packages/core/src/turmericcrank_core/rollouts.py
+++ b/packages/core/src/turmericcrank_core/rollouts.py
@@ -1,7 +1,7 @@
 """Shares of a roll-out and the automatic stop.
 
 The step of a roll-out is a row in the platform's store, moved by the holder
-of the conductor's lease, so it goes on after any node is lost and waits
+of the roll-out leader's lease, so it goes on after any node is lost and waits
 while the store is down. A stop is final for this start of the roll-out.
 """
 
--- a/packages/dev/src/turmericcrank_dev/broken_variants.py
+++ b/packages/dev/src/turmericcrank_dev/broken_variants.py
@@ -109,15 +109,15 @@
     ),
     Variant(
         'copies of a lost node are never written',
-        f'{_NODE}/bill_desk.py',
+        f'{_NODE}/api/bill_writer.py',
         '        if entry.kept_s > oldest_s or ctx.store.seems_down:',
         '        if entry.kept_s + 1e9 > oldest_s:',
-        'tests/node/test_bill_desk.py::'
+        'tests/node/test_bill_writer.py::'
         'test_bills_of_a_lost_node_are_written_by_its_peer',
     ),
     Variant(
         'the end of a stream is not held back',
-        f'{_NODE}/model_stream.py',
+        f'{_NODE}/api/model_stream.py',
         '            state.held = whole',
         '            given.append(whole)',
         'tests/node/test_wire.py::'
@@ -125,7 +125,7 @@
     ),
     Variant(
         'a resumed stream begins anew',
-        f'{_NODE}/model_stream.py',
+        f'{_NODE}/api/model_stream.py',
         '        ctx, call, broken.ring, state.n_events, broken.tried',
         '        ctx, call, broken.ring, 0, broken.tried',
         'tests/site/test_upstreams.py::'
@@ -133,10 +133,10 @@
     ),
     Variant(
         'not run is said while a claim is in doubt',
-        f'{_NODE}/claim_desk.py',
+        f'{_NODE}/api/claims.py',
         '            if self.maybe_done:\n                return None',
         '            if not self.maybe_done:\n                return None',
-        'tests/node/test_claim_desk.py::'
+        'tests/node/test_claims.py::'
         'test_nobody_says_not_run_while_a_claim_is_in_doubt',
     ),
     Variant(
@@ -144,14 +144,14 @@
         f'{_CORE}/claims.py',
         '    if row.state is ClaimState.not_run:',
         '    if row.state is not ClaimState.done:',
-        'tests/node/test_claim_desk.py::test_only_one_attempt_ever_sends',
+        'tests/node/test_claims.py::test_only_one_attempt_ever_sends',
     ),
     Variant(
         'an own write is not recognized',
         f'{_CORE}/claims.py',
         '    if row.token == own_token and row.state is ClaimState.claimed:',
         '    if not own_token:',
-        'tests/node/test_claim_desk.py::'
+        'tests/node/test_claims.py::'
         'test_a_lost_reply_is_recognized_as_an_own_write',
     ),
     Variant(
@@ -172,7 +172,7 @@
     ),
     Variant(
         'a stop does not wait for a draft',
-        f'{_NODE}/draft_desk.py',
+        f'{_NODE}/api/drafts.py',
         '        with keep_running(run.ctx):',
         '        if run:',
         'tests/site/test_calls.py::'
--- a/packages/dev/src/turmericcrank_dev/platform.py
+++ b/packages/dev/src/turmericcrank_dev/platform.py
@@ -36,7 +36,7 @@
 def make_platform_app(state: PlatformState) -> QuartTrio:
     """Make the web application over one state."""
     app = make_app('platform')
-    app.before_request(_make_gate(state))
+    app.before_request(_make_limiter(state))
     _add_tables(app, state)
     _add_objects(app, state)
     _add_vms(app, state)
@@ -62,7 +62,7 @@
     )
 
 
-def _make_gate(state: PlatformState) -> Any:
+def _make_limiter(state: PlatformState) -> Any:
     async def gate() -> Response | None:
         if request.path in _FAULTLESS_PATHS:
             return None
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/api/__init__.py
@@ -0,0 +1,1 @@
+"""The interface of its own: model calls, services, drafts, operators."""
--- a/packages/node/src/turmericcrank_node/address_desk.py
+++ b/packages/node/src/turmericcrank_node/api/addresses.py
@@ -5,9 +5,9 @@
 from turmericcrank_core.addressing import EntryNode, plan_addresses
 from turmericcrank_core.codes import ResultCode
 
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.replies import Reply, make_reply
-from turmericcrank_node.vm_list import list_peers
+from turmericcrank_node.api.replies import Reply, make_reply
+from turmericcrank_node.membership.vm_list import list_peers
+from turmericcrank_node.state.context import NodeContext
 
 __all__ = ('answer_addresses', 'list_entry_nodes', 'list_other_addresses')
 
--- a/packages/node/src/turmericcrank_node/admin_app.py
+++ b/packages/node/src/turmericcrank_node/api/admin_app.py
@@ -20,22 +20,22 @@
     describe_patch,
 )
 
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.gate import check_operator, read_body
-from turmericcrank_node.replies import (
+from turmericcrank_node.api.caller_checks import check_operator, read_body
+from turmericcrank_node.api.replies import (
     Reply,
     make_refusal_reply,
     make_reply,
     make_response,
 )
-from turmericcrank_node.sampling import sample_peer
-from turmericcrank_node.tables_desk import (
+from turmericcrank_node.membership.sampling import sample_peer
+from turmericcrank_node.membership.vm_list import list_peers
+from turmericcrank_node.state.context import NodeContext
+from turmericcrank_node.state.table_patches import (
     accept_edit,
     read_history,
     read_raw_at,
     write_patch,
 )
-from turmericcrank_node.vm_list import list_peers
 
 __all__ = ('add_admin',)
 
--- a/packages/node/src/turmericcrank_node/app.py
+++ b/packages/node/src/turmericcrank_node/api/app.py
@@ -14,14 +14,12 @@
 from turmericcrank_core.requests import ModelRequest, check_model_request
 from werkzeug.exceptions import HTTPException
 
-from turmericcrank_node.address_desk import (
+from turmericcrank_node.api.addresses import (
     answer_addresses,
     list_other_addresses,
 )
-from turmericcrank_node.admin_app import add_admin
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.draft_desk import fetch_draft, keep_draft
-from turmericcrank_node.gate import (
+from turmericcrank_node.api.admin_app import add_admin
+from turmericcrank_node.api.caller_checks import (
     Caller,
     Place,
     check_caller,
@@ -29,19 +27,21 @@
     hold_place,
     read_body,
 )
-from turmericcrank_node.model_desk import answer_model
-from turmericcrank_node.model_plan import plan_call
-from turmericcrank_node.replies import (
+from turmericcrank_node.api.drafts import fetch_draft, keep_draft
+from turmericcrank_node.api.model_answers import answer_model
+from turmericcrank_node.api.model_plan import plan_call
+from turmericcrank_node.api.replies import (
     Reply,
     make_refusal_reply,
     make_reply,
     make_response,
 )
-from turmericcrank_node.service_desk import (
+from turmericcrank_node.api.service_answers import (
     ServiceCall,
     answer_service,
     find_service_route,
 )
+from turmericcrank_node.state.context import NodeContext
 
 __all__ = ('make_app',)
 
--- a/packages/node/src/turmericcrank_node/bill_desk.py
+++ b/packages/node/src/turmericcrank_node/api/bill_writer.py
@@ -22,11 +22,11 @@
 )
 from turmericcrank_core.event_codes import EventCode
 
-from turmericcrank_node import peer_messages as messages
-from turmericcrank_node.context import BillEntry, NodeContext
-from turmericcrank_node.store import Operation
+from turmericcrank_node.membership import peer_messages as messages
+from turmericcrank_node.state.context import BillEntry, NodeContext
+from turmericcrank_node.state.store import Operation
 
-__all__ = ('BillDesk', 'CopyShelf', 'commit_bill', 'serve_bills')
+__all__ = ('BillQueue', 'CopyBook', 'commit_bill', 'serve_bills')
 
 _TABLE = 'bills'
 _MAX_BATCH = 2000
@@ -36,7 +36,7 @@
 
 
 @dataclass(slots=True)
-class ShelfEntry:
+class CopyEntry:
     """Copies of one batch of another node."""
 
     origin: str
@@ -45,17 +45,17 @@
 
 
 @dataclass(slots=True)
-class CopyShelf:
+class CopyBook:
     """Copies of other nodes' bills, by batch."""
 
-    entries_by_batch: dict[str, ShelfEntry] = field(default_factory=dict)
+    entries_by_batch: dict[str, CopyEntry] = field(default_factory=dict)
 
     def keep(
         self, origin: str, name: str, bills: Iterable[Bill], now_s: float
     ) -> None:
         """Keep copies of bills of one batch."""
         entry = self.entries_by_batch.setdefault(
-            name, ShelfEntry(origin, Batch(name), now_s)
+            name, CopyEntry(origin, Batch(name), now_s)
         )
         entry.kept_s = now_s
         for bill in bills:
@@ -68,7 +68,7 @@
 
 
 @dataclass(slots=True)
-class BillDesk:
+class BillQueue:
     """State of the task that owns the bills of this node.
 
     Attributes:
@@ -84,7 +84,7 @@
 
 
 async def commit_bill(ctx: NodeContext, bill: Bill, batch: str = '') -> None:
-    """Hand a bill to the desk and wait until a peer has a copy of it.
+    """Hand a bill to the queue and wait until a peer has a copy of it.
 
     Args:
         ctx: The node.
@@ -97,40 +97,40 @@
 
 
 async def serve_bills(
-    ctx: NodeContext, desk: BillDesk, shelf: CopyShelf, entries: Any
+    ctx: NodeContext, queue: BillQueue, copies: CopyBook, entries: Any
 ) -> None:
     """Copy new bills to a peer and write batches to the store, for ever.
 
     Args:
         ctx: The node.
-        desk: State of this task.
-        shelf: Copies of other nodes' bills.
+        queue: State of this task.
+        copies: Copies of other nodes' bills.
         entries: Channel of bill entries.
     """
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_serve_flush, ctx, desk, shelf)
+        nursery.start_soon(_serve_flush, ctx, queue, copies)
         while True:
             first = await entries.receive()
             await trio.sleep(_GATHER_S)
-            await _copy_entries(ctx, desk, [first, *_drain(entries)])
+            await _copy_entries(ctx, queue, [first, *_drain(entries)])
 
 
-async def flush_bills(ctx: NodeContext, desk: BillDesk) -> bool:
+async def flush_bills(ctx: NodeContext, queue: BillQueue) -> bool:
     """Write all sealed batches; True when nothing is left."""
-    _seal_when_due(desk)
+    _seal_when_due(queue)
     written = []
-    for name, batch in list(desk.book.sealed_by_name.items()):
+    for name, batch in list(queue.book.sealed_by_name.items()):
         if await write_chain(ctx, batch):
-            desk.book.sealed_by_name.pop(name)
+            queue.book.sealed_by_name.pop(name)
             written.append(name)
-    for name, batch in list(desk.own_batches_by_name.items()):
+    for name, batch in list(queue.own_batches_by_name.items()):
         if await write_chain(ctx, batch):
-            desk.own_batches_by_name.pop(name)
+            queue.own_batches_by_name.pop(name)
             written.append(name)
-    if written and desk.buddy:
+    if written and queue.buddy:
         news = messages.BillsWritten(written)
-        await ctx.ask_peer(desk.buddy, news, _COPY_S)
-    return not (desk.book.sealed_by_name or desk.own_batches_by_name)
+        await ctx.ask_peer(queue.buddy, news, _COPY_S)
+    return not (queue.book.sealed_by_name or queue.own_batches_by_name)
 
 
 async def write_chain(ctx: NodeContext, batch: Batch) -> bool:
@@ -164,30 +164,30 @@
 
 
 async def _copy_entries(
-    ctx: NodeContext, desk: BillDesk, entries: list[BillEntry]
+    ctx: NodeContext, queue: BillQueue, entries: list[BillEntry]
 ) -> None:
     bills_by_batch: dict[str, list[Bill]] = {}
     for entry in entries:
         name = entry.batch
         if name:
-            desk.own_batches_by_name[name] = Batch(
+            queue.own_batches_by_name[name] = Batch(
                 name, {entry.bill.bill_id: entry.bill}
             )
         else:
-            name = add_bill(desk.book, entry.bill)
+            name = add_bill(queue.book, entry.bill)
         bills_by_batch.setdefault(name, []).append(entry.bill)
-    await _copy_to_buddy(ctx, desk, bills_by_batch)
+    await _copy_to_buddy(ctx, queue, bills_by_batch)
     for entry in entries:
         entry.copied.set()
 
 
 async def _copy_to_buddy(
-    ctx: NodeContext, desk: BillDesk, bills_by_batch: dict[str, list[Bill]]
+    ctx: NodeContext, queue: BillQueue, bills_by_batch: dict[str, list[Bill]]
 ) -> None:
-    buddy = choose_buddy(ctx, desk.buddy)
-    if buddy != desk.buddy:
-        desk.buddy = buddy
-        bills_by_batch = _list_open_bills(desk)
+    buddy = choose_buddy(ctx, queue.buddy)
+    if buddy != queue.buddy:
+        queue.buddy = buddy
+        bills_by_batch = _list_open_bills(queue)
     if not buddy:
         return
     for name, bills in bills_by_batch.items():
@@ -196,7 +196,7 @@
         )
         answered = await ctx.ask_peer(buddy, copies, _COPY_S)
         if answered.is_error():
-            desk.buddy = ''
+            queue.buddy = ''
 
 
 def choose_buddy(ctx: NodeContext, current: str) -> str:
@@ -216,11 +216,11 @@
     return ctx.random_source.choice(other_centre or heard or [''])
 
 
-def _list_open_bills(desk: BillDesk) -> dict[str, list[Bill]]:
+def _list_open_bills(queue: BillQueue) -> dict[str, list[Bill]]:
     batches = [
-        desk.book.open,
-        *desk.book.sealed_by_name.values(),
-        *desk.own_batches_by_name.values(),
+        queue.book.open,
+        *queue.book.sealed_by_name.values(),
+        *queue.own_batches_by_name.values(),
     ]
     return {
         batch.name: list(batch.bills_by_id.values())
@@ -229,28 +229,28 @@
     }
 
 
-def _seal_when_due(desk: BillDesk) -> None:
-    is_full = len(desk.book.open.bills_by_id) >= _MAX_BATCH
-    if is_full or not desk.book.sealed_by_name:
-        seal_batch(desk.book)
+def _seal_when_due(queue: BillQueue) -> None:
+    is_full = len(queue.book.open.bills_by_id) >= _MAX_BATCH
+    if is_full or not queue.book.sealed_by_name:
+        seal_batch(queue.book)
 
 
 async def _serve_flush(
-    ctx: NodeContext, desk: BillDesk, shelf: CopyShelf
+    ctx: NodeContext, queue: BillQueue, copies: CopyBook
 ) -> None:
     while True:
         await trio.sleep(ctx.pause_s(ctx.settings.bill_flush_s, _N_FULL))
-        await flush_bills(ctx, desk)
-        await _take_over(ctx, shelf)
+        await flush_bills(ctx, queue)
+        await _take_over(ctx, copies)
 
 
-async def _take_over(ctx: NodeContext, shelf: CopyShelf) -> None:
+async def _take_over(ctx: NodeContext, copies: CopyBook) -> None:
     oldest_s = trio.current_time() - ctx.settings.bill_takeover_s
-    for name, entry in list(shelf.entries_by_batch.items()):
+    for name, entry in list(copies.entries_by_batch.items()):
         if entry.kept_s > oldest_s or ctx.store.seems_down:
             continue
         if await write_chain(ctx, entry.batch):
-            shelf.drop([name])
+            copies.drop([name])
             ctx.log.write(
                 EventCode.bill_batch_taken_over,
                 batch=name,
--- a/packages/node/src/turmericcrank_node/claim_desk.py
+++ b/packages/node/src/turmericcrank_node/api/claims.py
@@ -20,8 +20,8 @@
 from turmericcrank_core.errors import Refusal
 from turmericcrank_core.event_codes import EventCode
 
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.store import Operation
+from turmericcrank_node.state.context import NodeContext
+from turmericcrank_node.state.store import Operation
 
 __all__ = ('WonClaim', 'finish_claim', 'give_back_claim', 'win_claim')
 
--- a/packages/node/src/turmericcrank_node/dispatch.py
+++ b/packages/node/src/turmericcrank_node/api/dispatch.py
@@ -28,7 +28,7 @@
 from turmericcrank_core.suspects import is_suspect
 from turmericcrank_core.tables import PoolState, RouteKind, Upstream
 
-from turmericcrank_node.context import NodeContext
+from turmericcrank_node.state.context import NodeContext
 
 __all__ = (
     'Dispatch',
--- a/packages/node/src/turmericcrank_node/draft_desk.py
+++ b/packages/node/src/turmericcrank_node/api/drafts.py
@@ -29,11 +29,15 @@
 )
 from turmericcrank_core.requests import ModelRequest, check_model_request
 
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.gate import Caller, check_standing, keep_running
-from turmericcrank_node.model_desk import WholeAnswer, answer_whole
-from turmericcrank_node.model_plan import plan_call
-from turmericcrank_node.store import Operation, StoredRow
+from turmericcrank_node.api.caller_checks import (
+    Caller,
+    check_standing,
+    keep_running,
+)
+from turmericcrank_node.api.model_answers import WholeAnswer, answer_whole
+from turmericcrank_node.api.model_plan import plan_call
+from turmericcrank_node.state.context import NodeContext
+from turmericcrank_node.state.store import Operation, StoredRow
 
 __all__ = ('fetch_draft', 'keep_draft', 'serve_drafts')
 
--- a/packages/node/src/turmericcrank_node/model_desk.py
+++ b/packages/node/src/turmericcrank_node/api/model_answers.py
@@ -12,13 +12,17 @@
 from turmericcrank_core.selection import remember_upstream
 from turmericcrank_core.tables import Pool
 
-from turmericcrank_node.bill_desk import commit_bill
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.gate import Place
-from turmericcrank_node.model_calls import ModelCall, open_answer, read_whole
-from turmericcrank_node.model_plan import PlannedCall
-from turmericcrank_node.model_stream import relay_stream
-from turmericcrank_node.rating_desk import (
+from turmericcrank_node.api.bill_writer import commit_bill
+from turmericcrank_node.api.caller_checks import Place
+from turmericcrank_node.api.model_calls import (
+    ModelCall,
+    open_answer,
+    read_whole,
+)
+from turmericcrank_node.api.model_plan import PlannedCall
+from turmericcrank_node.api.model_stream import relay_stream
+from turmericcrank_node.api.replies import Reply
+from turmericcrank_node.control.ratings import (
     ChosenTier,
     RatedAnswer,
     learn_answer_cost,
@@ -27,7 +31,7 @@
     rate_later,
     rate_now,
 )
-from turmericcrank_node.replies import Reply
+from turmericcrank_node.state.context import NodeContext
 
 __all__ = (
     'WholeAnswer',
--- a/packages/node/src/turmericcrank_node/model_calls.py
+++ b/packages/node/src/turmericcrank_node/api/model_calls.py
@@ -18,8 +18,7 @@
 from turmericcrank_core.suspects import is_convicted
 from turmericcrank_core.tables import Route
 
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.dispatch import (
+from turmericcrank_node.api.dispatch import (
     Dispatch,
     Wanted,
     eject_upstream,
@@ -29,13 +28,14 @@
     list_fingerprints,
     start_dispatch,
 )
-from turmericcrank_node.evidence_desk import count_answer
-from turmericcrank_node.suspects_desk import note_answered, report_crash
-from turmericcrank_node.upstream_calls import (
+from turmericcrank_node.api.upstream_calls import (
     Answered,
     NotSent,
     send_upstream,
 )
+from turmericcrank_node.control.crash_records import note_answered, report_crash
+from turmericcrank_node.control.evidence_exchange import count_answer
+from turmericcrank_node.state.context import NodeContext
 
 __all__ = (
     'ModelCall',
--- a/packages/node/src/turmericcrank_node/model_plan.py
+++ b/packages/node/src/turmericcrank_node/api/model_plan.py
@@ -20,11 +20,11 @@
 from turmericcrank_core.suspects import is_convicted
 from turmericcrank_core.tables import Route, RouteKind
 
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.dispatch import Wanted
-from turmericcrank_node.gate import Caller
-from turmericcrank_node.model_calls import ModelCall
-from turmericcrank_node.rating_desk import ChosenTier, choose_tier
+from turmericcrank_node.api.caller_checks import Caller
+from turmericcrank_node.api.dispatch import Wanted
+from turmericcrank_node.api.model_calls import ModelCall
+from turmericcrank_node.control.ratings import ChosenTier, choose_tier
+from turmericcrank_node.state.context import NodeContext
 
 __all__ = ('PlannedCall', 'plan_call')
 
--- a/packages/node/src/turmericcrank_node/model_stream.py
+++ b/packages/node/src/turmericcrank_node/api/model_stream.py
@@ -12,24 +12,24 @@
 from turmericcrank_core.errors import Refusal
 from turmericcrank_core.event_codes import EventCode
 
-from turmericcrank_node.bill_desk import commit_bill
-from turmericcrank_node.context import BillEntry, NodeContext
-from turmericcrank_node.gate import Place
-from turmericcrank_node.model_calls import (
+from turmericcrank_node.api.bill_writer import commit_bill
+from turmericcrank_node.api.caller_checks import Place
+from turmericcrank_node.api.model_calls import (
     Opened,
     close_opened,
     note_broken,
     open_answer,
 )
-from turmericcrank_node.model_plan import PlannedCall
-from turmericcrank_node.rating_desk import (
+from turmericcrank_node.api.model_plan import PlannedCall
+from turmericcrank_node.api.replies import make_error_event
+from turmericcrank_node.api.stream_reader import StreamReader
+from turmericcrank_node.control.crash_records import note_answered
+from turmericcrank_node.control.ratings import (
     RatedAnswer,
     learn_answer_cost,
     rate_later,
 )
-from turmericcrank_node.replies import make_error_event
-from turmericcrank_node.stream_reader import StreamReader
-from turmericcrank_node.suspects_desk import note_answered
+from turmericcrank_node.state.context import BillEntry, NodeContext
 
 __all__ = ('relay_stream', 'split_block')
 
--- a/packages/node/src/turmericcrank_node/service_desk.py
+++ b/packages/node/src/turmericcrank_node/api/service_answers.py
@@ -23,29 +23,29 @@
 from turmericcrank_core.selection import PoolRing
 from turmericcrank_core.tables import Route, RouteKind
 
-from turmericcrank_node.bill_desk import commit_bill
-from turmericcrank_node.claim_desk import (
+from turmericcrank_node.api.bill_writer import commit_bill
+from turmericcrank_node.api.caller_checks import Caller, keep_running
+from turmericcrank_node.api.claims import (
     WonClaim,
     finish_claim,
     give_back_claim,
     name_claim_batch,
     win_claim,
 )
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.dispatch import (
+from turmericcrank_node.api.dispatch import (
     Wanted,
     eject_upstream,
     end_dispatch,
     find_budget,
     start_dispatch,
 )
-from turmericcrank_node.gate import Caller, keep_running
-from turmericcrank_node.replies import Reply
-from turmericcrank_node.upstream_calls import (
+from turmericcrank_node.api.replies import Reply
+from turmericcrank_node.api.upstream_calls import (
     Answered,
     NotSent,
     send_upstream,
 )
+from turmericcrank_node.state.context import NodeContext
 
 __all__ = ('ServiceCall', 'answer_service', 'find_service_route')
 
--- a/packages/node/src/turmericcrank_node/suspects_desk.py
+++ b/packages/node/src/turmericcrank_node/control/crash_records.py
@@ -11,9 +11,9 @@
     is_suspect,
 )
 
-from turmericcrank_node import peer_messages as messages
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.sampling import spread
+from turmericcrank_node.membership import peer_messages as messages
+from turmericcrank_node.membership.sampling import spread
+from turmericcrank_node.state.context import NodeContext
 
 __all__ = ('note_answered', 'note_crash', 'report_crash')
 
--- a/packages/node/src/turmericcrank_node/evidence_desk.py
+++ b/packages/node/src/turmericcrank_node/control/evidence_exchange.py
@@ -15,10 +15,10 @@
 )
 from turmericcrank_core.tables import Pool
 
-from turmericcrank_node import peer_messages as messages
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.sampling import spread
-from turmericcrank_node.store import Operation
+from turmericcrank_node.membership import peer_messages as messages
+from turmericcrank_node.membership.sampling import spread
+from turmericcrank_node.state.context import NodeContext
+from turmericcrank_node.state.store import Operation
 
 __all__ = (
     'count_answer',
--- a/packages/node/src/turmericcrank_node/conductor.py
+++ b/packages/node/src/turmericcrank_node/control/rollout_leader.py
@@ -35,10 +35,10 @@
 )
 from turmericcrank_core.tables import Pool, PoolState, Route, Upstream
 
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.store import Operation
+from turmericcrank_node.state.context import NodeContext
+from turmericcrank_node.state.store import Operation
 
-__all__ = ('ConductorState', 'serve_conductor')
+__all__ = ('RolloutLeaderState', 'serve_rollout_leader')
 
 _LEASES = 'leases'
 _ROLLOUTS = 'rollouts'
@@ -50,7 +50,7 @@
 
 
 @dataclass(slots=True)
-class ConductorState:
+class RolloutLeaderState:
     """State of the task.
 
     Attributes:
@@ -68,9 +68,9 @@
     answers_by_rollout: dict[str, int] = field(default_factory=dict)
 
 
-async def serve_conductor(ctx: NodeContext) -> None:
+async def serve_rollout_leader(ctx: NodeContext) -> None:
     """Hold or watch the lease for ever, and act while it is held."""
-    state = ConductorState()
+    state = RolloutLeaderState()
     while True:
         pause_s = ctx.settings.order_lease_s / _TICKS_PER_LEASE
         if state.row is None:
@@ -89,8 +89,8 @@
     return find_cell(ctx.settings.node_id, ctx.n_cells)
 
 
-async def _hold_or_watch(ctx: NodeContext, state: ConductorState) -> None:
-    key = f'conductor-{_find_own_cell(ctx)}'
+async def _hold_or_watch(ctx: NodeContext, state: RolloutLeaderState) -> None:
+    key = f'rollout-leader-{_find_own_cell(ctx)}'
     found = await ctx.store.read([(_LEASES, key)])
     if found.is_error():
         return
@@ -110,7 +110,7 @@
         state.written_s = now_s
 
 
-def _may_act(ctx: NodeContext, state: ConductorState) -> bool:
+def _may_act(ctx: NodeContext, state: RolloutLeaderState) -> bool:
     length_s = ctx.settings.order_lease_s
     return state.row is not None and is_held(
         state.written_s,
@@ -120,14 +120,14 @@
     )
 
 
-async def _move_rollouts(ctx: NodeContext, state: ConductorState) -> None:
+async def _move_rollouts(ctx: NodeContext, state: RolloutLeaderState) -> None:
     for route in list(ctx.revision.tables.routes_by_name.values()):
         if route.rollout is not None:
             await _move_rollout(ctx, state, route)
 
 
 async def _move_rollout(
-    ctx: NodeContext, state: ConductorState, route: Route
+    ctx: NodeContext, state: RolloutLeaderState, route: Route
 ) -> None:
     rollout = route.rollout
     key = make_rollout_key(route.name, rollout)
@@ -164,7 +164,7 @@
 
 
 def _has_evidence(
-    ctx: NodeContext, state: ConductorState, key: str, version: str
+    ctx: NodeContext, state: RolloutLeaderState, key: str, version: str
 ) -> bool:
     """Tell whether enough rated answers came since the step began."""
     before = state.answers_by_rollout.setdefault(key, 0)
@@ -176,7 +176,7 @@
     return evidence.total.n_ratings if evidence else 0
 
 
-async def _order_versions(ctx: NodeContext, state: ConductorState) -> None:
+async def _order_versions(ctx: NodeContext, state: RolloutLeaderState) -> None:
     """Order engines that report another version than their pool's."""
     for pool, upstream in list(islice(_iter_wrong(ctx), _MAX_ORDERS_PER_TICK)):
         if not _may_act(ctx, state):
@@ -200,7 +200,7 @@
 
 async def _give_order(
     ctx: NodeContext,
-    state: ConductorState,
+    state: RolloutLeaderState,
     upstream: Upstream,
     model_version: str,
 ) -> None:
--- a/packages/node/src/turmericcrank_node/load_news.py
+++ b/packages/node/src/turmericcrank_node/membership/load_news.py
@@ -3,8 +3,8 @@
 import trio
 from turmericcrank_core.cells import plan_cell
 
-from turmericcrank_node import peer_messages as messages
-from turmericcrank_node.context import NodeContext
+from turmericcrank_node.membership import peer_messages as messages
+from turmericcrank_node.state.context import NodeContext
 
 __all__ = ('serve_load_news',)
 
--- a/packages/node/src/turmericcrank_node/peer_server.py
+++ b/packages/node/src/turmericcrank_node/membership/peer_server.py
@@ -11,19 +11,22 @@
 from turmericcrank_core.selection import note_told
 from turmericcrank_core.suspects import CrashRecord
 
-from turmericcrank_node import peer_messages as messages
-from turmericcrank_node.bill_desk import CopyShelf
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.evidence_desk import note_evidence, note_stop
-from turmericcrank_node.peer_stream import (
+from turmericcrank_node.api.bill_writer import CopyBook
+from turmericcrank_node.control.crash_records import note_crash
+from turmericcrank_node.control.evidence_exchange import (
+    note_evidence,
+    note_stop,
+)
+from turmericcrank_node.membership import peer_messages as messages
+from turmericcrank_node.membership.peer_stream import (
     PeerStream,
     PeerStreamError,
     prove_as_server,
 )
-from turmericcrank_node.sampling import describe_self, pull_patches
-from turmericcrank_node.suspects_desk import note_crash
-from turmericcrank_node.tables_desk import write_patch
-from turmericcrank_node.vm_list import dump_vms
+from turmericcrank_node.membership.sampling import describe_self, pull_patches
+from turmericcrank_node.membership.vm_list import dump_vms
+from turmericcrank_node.state.context import NodeContext
+from turmericcrank_node.state.table_patches import write_patch
 
 __all__ = ('answer_message', 'serve_peers')
 
@@ -33,7 +36,7 @@
 
 async def serve_peers(
     ctx: NodeContext,
-    shelf: CopyShelf,
+    copies: CopyBook,
     tls: ssl.SSLContext | None,
     task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -41,7 +44,7 @@
 
     Args:
         ctx: The node.
-        shelf: Copies of other nodes' bills.
+        copies: Copies of other nodes' bills.
         tls: Context when the nodes speak TLS.
         task_status: Told when the port is open.
     """
@@ -52,7 +55,7 @@
             stream = trio.SSLStream(stream, tls, server_side=True)
         peer = PeerStream(stream)
         try:
-            await _answer_peer(ctx, shelf, peer)
+            await _answer_peer(ctx, copies, peer)
         except (PeerStreamError, trio.TooSlowError):
             await peer.close()
 
@@ -60,7 +63,7 @@
 
 
 async def _answer_peer(
-    ctx: NodeContext, shelf: CopyShelf, peer: PeerStream
+    ctx: NodeContext, copies: CopyBook, peer: PeerStream
 ) -> None:
     with trio.fail_after(_PROOF_S):
         await prove_as_server(peer, ctx.settings.node_secret)
@@ -69,20 +72,20 @@
         message = await peer.receive()
         if message is None:
             return
-        await peer.send(answer_message(ctx, shelf, message))
+        await peer.send(answer_message(ctx, copies, message))
         ctx.n_peer_bytes += peer.n_bytes - before
 
 
-def answer_message(ctx: NodeContext, shelf: CopyShelf, message: Any) -> Any:
+def answer_message(ctx: NodeContext, copies: CopyBook, message: Any) -> Any:
     """Answer one message of a peer."""
     answer_one = _ANSWERS_BY_TYPE.get(type(message))
     if answer_one is not None:
         return answer_one(ctx, message)
     if isinstance(message, messages.BillCopies):
         bills = [check_bill(raw) for raw in message.bills]
-        shelf.keep(message.origin, message.batch, bills, trio.current_time())
+        copies.keep(message.origin, message.batch, bills, trio.current_time())
     elif isinstance(message, messages.BillsWritten):
-        shelf.drop(message.batches)
+        copies.drop(message.batches)
     return messages.Ack(ctx.settings.node_id)
 
 
--- a/packages/node/src/turmericcrank_node/peer_stream.py
+++ b/packages/node/src/turmericcrank_node/membership/peer_stream.py
@@ -11,8 +11,11 @@
 import trio
 from itsdangerous import BadSignature, Signer
 
-from turmericcrank_node import peer_messages
-from turmericcrank_node.peer_messages import pack_message, unpack_message
+from turmericcrank_node.membership import peer_messages
+from turmericcrank_node.membership.peer_messages import (
+    pack_message,
+    unpack_message,
+)
 
 __all__ = (
     'PeerStream',
--- a/packages/node/src/turmericcrank_node/peers.py
+++ b/packages/node/src/turmericcrank_node/membership/peers.py
@@ -13,12 +13,12 @@
 from expression import Error, Ok, Result
 from turmericcrank_core.network_address import split_address
 
-from turmericcrank_node.context import NodeContext, VmRow
-from turmericcrank_node.peer_stream import (
+from turmericcrank_node.membership.peer_stream import (
     PeerStream,
     PeerStreamError,
     prove_as_client,
 )
+from turmericcrank_node.state.context import NodeContext, VmRow
 
 __all__ = ('PeerLinks', 'make_asker')
 
--- a/packages/node/src/turmericcrank_node/sampling.py
+++ b/packages/node/src/turmericcrank_node/membership/sampling.py
@@ -9,14 +9,14 @@
 from turmericcrank_core.revisions import Snapshot, hear_revision
 from turmericcrank_core.selection import forget_peer
 
-from turmericcrank_node import peer_messages as messages
-from turmericcrank_node.context import NodeContext, PeerView
-from turmericcrank_node.tables_desk import (
+from turmericcrank_node.membership import peer_messages as messages
+from turmericcrank_node.membership.vm_list import note_vms
+from turmericcrank_node.state.context import NodeContext, PeerView
+from turmericcrank_node.state.table_patches import (
     adopt_patches,
     adopt_whole,
     check_patch,
 )
-from turmericcrank_node.vm_list import note_vms
 
 __all__ = (
     'describe_self',
--- a/packages/node/src/turmericcrank_node/node.py
+++ b/packages/node/src/turmericcrank_node/node.py
@@ -16,32 +16,32 @@
 from turmericcrank_core.selection import SelectionSettings, make_selector
 from turmericcrank_core.sessions import make_signer
 
-from turmericcrank_node.app import make_app
-from turmericcrank_node.bill_desk import (
-    BillDesk,
-    CopyShelf,
+from turmericcrank_node.api.app import make_app
+from turmericcrank_node.api.bill_writer import (
+    BillQueue,
+    CopyBook,
     flush_bills,
     serve_bills,
 )
-from turmericcrank_node.conductor import serve_conductor
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.dispatch import serve_reports
-from turmericcrank_node.draft_desk import serve_drafts
+from turmericcrank_node.api.dispatch import serve_reports
+from turmericcrank_node.api.drafts import serve_drafts
+from turmericcrank_node.control.evidence_exchange import serve_evidence
+from turmericcrank_node.control.rollout_leader import serve_rollout_leader
 from turmericcrank_node.event_log import EventLog
-from turmericcrank_node.evidence_desk import serve_evidence
-from turmericcrank_node.load_news import serve_load_news
+from turmericcrank_node.membership.load_news import serve_load_news
+from turmericcrank_node.membership.peer_server import serve_peers
+from turmericcrank_node.membership.peers import PeerLinks, make_asker
+from turmericcrank_node.membership.sampling import serve_sampling
 from turmericcrank_node.metrics import make_metrics
-from turmericcrank_node.peer_server import serve_peers
-from turmericcrank_node.peers import PeerLinks, make_asker
-from turmericcrank_node.sampling import serve_sampling
 from turmericcrank_node.settings import NodeSettings
-from turmericcrank_node.store import StoreClient
+from turmericcrank_node.state.context import NodeContext
+from turmericcrank_node.state.store import StoreClient
+from turmericcrank_node.state.watcher import serve_vm_watch, serve_watch
 from turmericcrank_node.tls import (
     make_client_context,
     make_peer_contexts,
     plan_web_tls,
 )
-from turmericcrank_node.watcher import serve_vm_watch, serve_watch
 
 __all__ = ('run_node',)
 
@@ -57,7 +57,7 @@
     serve_reports,
     serve_evidence,
     serve_drafts,
-    serve_conductor,
+    serve_rollout_leader,
     serve_load_news,
 )
 
@@ -72,8 +72,8 @@
         settings: Checked settings.
     """
     ctx = _make_context(settings)
-    shelf = CopyShelf()
-    desk = BillDesk(BatchBook(ctx.incarnation))
+    copies = CopyBook()
+    queue = BillQueue(BatchBook(ctx.incarnation))
     links = PeerLinks(tls=make_peer_contexts(settings.tls).client)
     bill_sender, bill_receiver = trio.open_memory_channel(math.inf)
     ctx.bill_sender = bill_sender
@@ -81,9 +81,9 @@
         ctx.nursery = nursery
         ctx.ask_peer = make_asker(ctx, links, nursery)
         await nursery.start(
-            serve_peers, ctx, shelf, make_peer_contexts(settings.tls).server
+            serve_peers, ctx, copies, make_peer_contexts(settings.tls).server
         )
-        nursery.start_soon(serve_bills, ctx, desk, shelf, bill_receiver)
+        nursery.start_soon(serve_bills, ctx, queue, copies, bill_receiver)
         for work in _TASKS:
             nursery.start_soon(work, ctx)
         stop = trio.Event()
@@ -92,7 +92,7 @@
         await serve(
             make_app(ctx), _make_config(settings), shutdown_trigger=stop.wait
         )
-        await _flush_last(ctx, desk)
+        await _flush_last(ctx, queue)
         nursery.cancel_scope.cancel()
     ctx.log.write(EventCode.node_stopped, node=settings.node_id)
 
@@ -181,9 +181,9 @@
     stop.set()
 
 
-async def _flush_last(ctx: NodeContext, desk: BillDesk) -> None:
+async def _flush_last(ctx: NodeContext, queue: BillQueue) -> None:
     """Write what is left of the bills; copies stay at a peer if it fails."""
     for _attempt in range(_LAST_FLUSHES):
-        if await flush_bills(ctx, desk) and not desk.book.open.bills_by_id:
+        if await flush_bills(ctx, queue) and not queue.book.open.bills_by_id:
             return
         await trio.sleep(_FLUSH_PAUSE_S)
--- a/packages/node/src/turmericcrank_node/serving/plain_call.py
+++ b/packages/node/src/turmericcrank_node/serving/plain_call.py
@@ -16,6 +16,7 @@
     end_attempt,
     is_slow_answer,
     judge_attempt,
+    may_follow,
     may_send,
     refuse_fault,
     time_left_s,
@@ -117,7 +118,7 @@
 ) -> _Whole | AttemptFault:
     left_s = time_left_s(work)
     wait_s = left_s
-    if work.route.is_repeatable and work.n_runs == 0:
+    if may_follow(work):
         wait_s = left_s * _FIRST_TRY_SHARE
     sending = Sending(
         upstream.upstream_id,
--- a/packages/node/src/turmericcrank_node/serving/router.py
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -3,6 +3,7 @@
 import trio
 from turmericcrank_core.codes import ResultCode
 from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.proofs import proof_age_s
 from turmericcrank_core.retries import earn_retry
 from turmericcrank_core.routing import (
     CallKind,
@@ -21,7 +22,7 @@
 from turmericcrank_node.serving.plain_call import answer_plain_call
 from turmericcrank_node.serving.stream_call import answer_stream_call
 from turmericcrank_node.serving.work import Work, refuse
-from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.state.node_state import NodeState, read_boot_s
 from turmericcrank_node.upstreams.candidates import Need
 
 __all__ = ('answer_request',)
@@ -56,28 +57,51 @@
         code = ResultCode.draining
         if state.table is None:
             code = ResultCode.no_tables
-        await _send_elsewhere(state, exchange, code, call)
+        await _send_elsewhere(state, exchange, code, call, 'this node')
         return
     route = find_route(state.table, call.host, call.path)
     if not state.is_proven and (route is None or not route.is_public):
-        await _send_elsewhere(state, exchange, ResultCode.cut_off, call)
+        age_s = proof_age_s(state.configuration_proof, read_boot_s())
+        reason = f'revision {state.table.revision}, proof {age_s:.1f} s old'
+        await _send_elsewhere(state, exchange, ResultCode.cut_off, call, reason)
         return
     if route is None:
-        await refuse(state, exchange, ResultCode.unknown_route, call.request_id)
+        await refuse(
+            state,
+            exchange,
+            ResultCode.unknown_route,
+            call.request_id,
+            reason=f'revision {state.table.revision}: {call.host}{call.path}',
+        )
         return
     team = find_team(state.table, route, call.api_key)
     if team is None:
-        await refuse(state, exchange, ResultCode.bad_key, call.request_id)
+        await refuse(
+            state,
+            exchange,
+            ResultCode.bad_key,
+            call.request_id,
+            reason=f'revision {state.table.revision}, route {route.name}',
+        )
         return
     await _answer(state, _make_work(state, call, route, team), exchange)
 
 
 async def _send_elsewhere(
-    state: NodeState, exchange: ClientExchange, code: ResultCode, call: Call
+    state: NodeState,
+    exchange: ClientExchange,
+    code: ResultCode,
+    call: Call,
+    reason: str,
 ) -> None:
     """Refuse a request that another node may take at once."""
     await refuse(
-        state, exchange, code, call.request_id, retry_after_s=_COME_BACK_S
+        state,
+        exchange,
+        code,
+        call.request_id,
+        retry_after_s=_COME_BACK_S,
+        reason=reason,
     )
 
 
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -29,7 +29,6 @@
     Pace,
     StreamOutcome,
     StreamProgress,
-    may_follow,
 )
 from turmericcrank_node.serving.work import (
     Work,
@@ -37,6 +36,7 @@
     end_attempt,
     is_slow_answer,
     judge_attempt,
+    may_follow,
     may_send,
     refuse_fault,
     time_left_s,
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -28,9 +28,8 @@
     Pace,
     StreamOutcome,
     StreamProgress,
-    may_follow,
 )
-from turmericcrank_node.serving.work import Work, time_left_s
+from turmericcrank_node.serving.work import Work, may_follow, time_left_s
 from turmericcrank_node.state.node_state import NodeState, read_boot_s
 from turmericcrank_node.upstreams.attempt import (
     Answering,
--- a/packages/node/src/turmericcrank_node/serving/stream_state.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_state.py
@@ -5,7 +5,6 @@
 from turmericcrank_core.ladder import Ladder
 from turmericcrank_core.sse import EventSplitter
 
-from turmericcrank_node.serving.work import Work
 from turmericcrank_node.upstreams.attempt import Answering, AttemptFault
 
 __all__ = (
@@ -15,7 +14,6 @@
     'Pace',
     'StreamOutcome',
     'StreamProgress',
-    'may_follow',
 )
 
 
@@ -87,10 +85,3 @@
 
 
 StreamOutcome = Done | Doubted | Failed | AttemptFault
-
-
-def may_follow(work: Work) -> bool:
-    """Tell whether another attempt may follow the current one."""
-    return work.route.is_repeatable and (
-        work.n_runs + 1 < work.route.max_attempts
-    )
--- a/packages/node/src/turmericcrank_node/serving/work.py
+++ b/packages/node/src/turmericcrank_node/serving/work.py
@@ -27,6 +27,7 @@
     'end_attempt',
     'is_slow_answer',
     'judge_attempt',
+    'may_follow',
     'may_send',
     'refuse',
     'refuse_fault',
@@ -181,6 +182,13 @@
     return judge_speed(state.speeds, own, others, needed_s, limit_s)
 
 
+def may_follow(work: Work) -> bool:
+    """Tell whether another attempt may follow the current one."""
+    return work.route.is_repeatable and (
+        work.n_runs + 1 < work.route.max_attempts
+    )
+
+
 def may_send(state: NodeState, work: Work, n_before: int) -> bool:
     """Tell whether one more attempt may start; a repeat costs a retry.
 
--- a/packages/node/src/turmericcrank_node/context.py
+++ b/packages/node/src/turmericcrank_node/state/context.py
@@ -31,7 +31,7 @@
 from turmericcrank_node.event_log import EventLog
 from turmericcrank_node.metrics import Metrics
 from turmericcrank_node.settings import NodeSettings
-from turmericcrank_node.store import StoreClient
+from turmericcrank_node.state.store import StoreClient
 
 __all__ = ('BillEntry', 'NodeContext', 'PeerView', 'VmRow')
 
@@ -70,7 +70,7 @@
 
 @dataclass(slots=True, frozen=True)
 class BillEntry:
-    """A bill on its way to the bill desk.
+    """A bill on its way to the bill queue.
 
     Attributes:
         bill: The bill.
@@ -115,7 +115,7 @@
     random_source: random.Random
     incarnation: str
     signer: Signer
-    # Changed by tables_desk.
+    # Changed by table_patches.
     revision: RevisionState = field(default_factory=RevisionState)
     rings_by_pool: dict[str, PoolRing] = field(default_factory=dict)
     n_cells: int = 1
@@ -136,14 +136,14 @@
     in_flight: dict[str, dict[str, str]] = field(default_factory=dict)
     instances_by_upstream: dict[str, str] = field(default_factory=dict)
     budgets_by_pool: dict[str, RetryBudget] = field(default_factory=dict)
-    # Changed by suspects_desk.
+    # Changed by crash_records.
     suspects: SuspectBook = field(default_factory=SuspectBook)
-    # Changed by evidence_desk.
+    # Changed by evidence_exchange.
     evidence: EvidencePool = field(default_factory=EvidencePool)
     reasons_by_stop: dict[str, str] = field(default_factory=dict)
     policies_by_route: dict[str, CascadePolicy] = field(default_factory=dict)
     counts: CountBook = field(default_factory=CountBook)
-    # Changed by gate.
+    # Changed by caller_checks.
     admission: AdmissionBook = field(default_factory=AdmissionBook)
     n_running: int = 0
     # Changed by drain.
--- a/packages/node/src/turmericcrank_node/tables_desk.py
+++ b/packages/node/src/turmericcrank_node/state/table_patches.py
@@ -22,8 +22,8 @@
 from turmericcrank_core.selection import build_ring
 from turmericcrank_core.tables import plan_patch
 
-from turmericcrank_node.context import NodeContext
-from turmericcrank_node.store import Operation, StoreFault
+from turmericcrank_node.state.context import NodeContext
+from turmericcrank_node.state.store import Operation, StoreFault
 
 __all__ = (
     'accept_edit',
--- a/tests/node/test_bill_desk.py
+++ b/tests/node/test_bill_writer.py
@@ -6,14 +6,14 @@
 from expression import Error, Ok
 from turmericcrank_core.billing import BatchBook, check_bill
 from turmericcrank_core.freshness import PeerSample, note_sample
-from turmericcrank_node.bill_desk import (
-    BillDesk,
-    CopyShelf,
+from turmericcrank_node.api.bill_writer import (
+    BillQueue,
+    CopyBook,
     commit_bill,
     serve_bills,
 )
-from turmericcrank_node.peer_server import answer_message
-from turmericcrank_node.vm_list import note_vms
+from turmericcrank_node.membership.peer_server import answer_message
+from turmericcrank_node.membership.vm_list import note_vms
 
 from tests.builders import make_bill
 from tests.fakes import (
@@ -31,7 +31,7 @@
 
     def __init__(self, nursery, faults=()):
         self.state = make_state()
-        self.shelves = [CopyShelf(), CopyShelf()]
+        self.shelves = [CopyBook(), CopyBook()]
         self.nodes = []
         self.scopes = []
         self.is_cut = False
@@ -57,16 +57,16 @@
             ctx.bill_sender = sender
             scope = trio.CancelScope()
             self.scopes.append(scope)
-            desk = BillDesk(BatchBook(ctx.incarnation))
-            nursery.start_soon(self._serve, scope, ctx, desk, index, receiver)
+            queue = BillQueue(BatchBook(ctx.incarnation))
+            nursery.start_soon(self._serve, scope, ctx, queue, index, receiver)
             await trio.sleep(0)
         for ctx in self.nodes:
             other = next(iter(ctx.window.listed))
             note_sample(ctx.window, other, PeerSample(0, heard=True))
 
-    async def _serve(self, scope, ctx, desk, index, receiver):
+    async def _serve(self, scope, ctx, queue, index, receiver):
         with scope:
-            await serve_bills(ctx, desk, self.shelves[index], receiver)
+            await serve_bills(ctx, queue, self.shelves[index], receiver)
 
     def _make_asker(self, other):
         async def ask(_peer, message, _timeout_s):
--- a/tests/node/test_claim_desk.py
+++ b/tests/node/test_claims.py
@@ -10,7 +10,7 @@
     is_too_late,
 )
 from turmericcrank_core.codes import Ran, ResultCode
-from turmericcrank_node.claim_desk import (
+from turmericcrank_node.api.claims import (
     WonClaim,
     finish_claim,
     give_back_claim,
--- a/tests/node/test_dispatch.py
+++ b/tests/node/test_dispatch.py
@@ -3,12 +3,12 @@
 import trio
 from turmericcrank_core.codes import ResultCode
 from turmericcrank_core.revisions import Snapshot, adopt_snapshot
-from turmericcrank_node.dispatch import (
+from turmericcrank_node.api.dispatch import (
     Wanted,
     end_dispatch,
     start_dispatch,
 )
-from turmericcrank_node.vm_list import note_vms
+from turmericcrank_node.membership.vm_list import note_vms
 
 from tests.builders import make_raw_tables
 from tests.fakes import FakeStore, make_context, make_state, run
--- a/tests/node/test_wire.py
+++ b/tests/node/test_wire.py
@@ -6,10 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from turmericcrank_dev.site_data import NodePorts, build_node_settings
-from turmericcrank_node import peer_messages
-from turmericcrank_node.model_stream import StreamState, split_block
-from turmericcrank_node.peer_messages import unpack_message
-from turmericcrank_node.peer_stream import (
+from turmericcrank_node.api.model_stream import StreamState, split_block
+from turmericcrank_node.membership import peer_messages
+from turmericcrank_node.membership.peer_messages import unpack_message
+from turmericcrank_node.membership.peer_stream import (
     PeerStream,
     PeerStreamError,
     prove_as_client,
--- a/tests/serving/test_plain_calls.py
+++ b/tests/serving/test_plain_calls.py
@@ -110,6 +110,15 @@
     assert seen.startswith(b'HTTP/1.1 400')
 
 
+def test_a_call_with_one_attempt_may_use_all_of_its_time():
+    """Replays the calls that outlast their route: 502 after 0.45 of it."""
+    slow = [0.4, answer_bytes()]
+    seen, _, _ = _ask(
+        CallKind.idempotent, [slow], max_attempts=1, timeout_s=0.6
+    )
+    assert seen.startswith(b'HTTP/1.1 200')
+
+
 def test_the_timeout_of_the_route_ends_the_wait():
     async def main():
         state = _make_state(CallKind.non_idempotent, timeout_s=0.4)
