Write the pages for the platform, and check that its names stay in the adapter

Cause: the design note, the page for on-call engineers, the incidents and the developers' page were missing, and nothing kept the platform's names out of the packages. Ruled out: a list of the names in the check; it would be a second copy.

--- a/packages/dev/src/turmericcrank_dev/docs_check.py
+++ b/packages/dev/src/turmericcrank_dev/docs_check.py
@@ -13,6 +13,7 @@
 from turmericcrank_core.codes import CODES
 from turmericcrank_core.event_codes import EventCode
 
+from turmericcrank_dev.leak_check import find_leaks
 from turmericcrank_dev.proofs_check import find_missing_tests
 
 __all__ = ('main',)
@@ -42,12 +43,15 @@
 _PAGES = (
     'README.md',
     'CHANGELOG.md',
+    'DEVELOPERS.md',
     'docs/CAPACITY.md',
     'docs/DESIGN.md',
     'docs/EVENTS.md',
     'docs/GLOSSARY.md',
     'docs/LIBRARIES.md',
     'docs/OPERATING.md',
+    'docs/OPERATIONS.md',
+    'docs/PLATFORM-FIT.md',
     'docs/PLATFORM.md',
     'docs/PROOFS.md',
     'docs/RESULT-CODES.md',
@@ -62,6 +66,7 @@
         *_find_event_faults(),
         *_find_import_faults(),
         *find_missing_tests(),
+        *find_leaks(),
     ]
     for fault in faults:
         sys.stdout.write(f'{fault}\n')
--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/leak_check.py
@@ -0,0 +1,58 @@
+"""Checks that the platform's names stand in the adapter only.
+
+The names are read from the adapter itself: every text or byte literal in it
+with a hyphen. None of them may stand as a literal outside it, except the
+headers that HTTP itself defines.
+"""
+
+import ast
+import pathlib
+from collections.abc import Iterator
+
+__all__ = ('find_leaks',)
+
+_ADAPTER = pathlib.Path('platform')
+_PACKAGES = pathlib.Path('packages')
+# Names that HTTP (RFC 9110 and 9112) or server-sent events define.
+_STANDARD = frozenset(
+    (
+        'content-length',
+        'content-type',
+        'keep-alive',
+        'last-event-id',
+        'latin-1',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'transfer-encoding',
+        'x-request-id',
+    )
+)
+
+
+def find_leaks() -> Iterator[str]:
+    """Yield a fault for each name of the platform outside the adapter."""
+    names = {
+        name
+        for path in sorted(_ADAPTER.rglob('*.py'))
+        for name in _iter_names(path)
+    }
+    for path in sorted(_PACKAGES.rglob('*.py')):
+        for leaked in sorted(names.intersection(_iter_names(path))):
+            yield f'{path}: {leaked} belongs in {_ADAPTER}'
+
+
+def _iter_names(path: pathlib.Path) -> Iterator[str]:
+    tree = ast.parse(path.read_text(encoding='utf-8'))
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Constant):
+            text = _as_text(node.value).lower()
+            is_name = '-' in text and ' ' not in text and len(text) > 2
+            if is_name and text not in _STANDARD:
+                yield text
+
+
+def _as_text(literal: object) -> str:
+    if isinstance(literal, bytes):
+        return literal.decode('latin-1')
+    return literal if isinstance(literal, str) else ''
