Let all nodes hear each other, and hand small changes over

Greetings were sent once, before the seeds listened. Change: seeds are greeted until they are heard, messages introduce newcomers and a random peer, small changes are handed over with their versions, counts are told only while they are new, half as many messages.

--- a/packages/core/src/turmericcrank_core/outcomes.py
+++ b/packages/core/src/turmericcrank_core/outcomes.py
@@ -34,10 +34,12 @@
     Attributes:
         n_answers: Requests that were sent to it.
         n_bad: Those that failed, broke off or came far too late.
+        changed_s: When they last changed, in seconds.
     """
 
     n_answers: int = 0
     n_bad: int = 0
+    changed_s: float = 0
 
 
 @dataclass(slots=True)
@@ -85,6 +87,7 @@
     tally = book.own_by_id.setdefault(upstream_id, UpstreamTally())
     tally.n_answers += 1
     tally.n_bad += is_bad
+    tally.changed_s = now_s
     if not is_bad:
         book.n_rests_by_id.pop(upstream_id, None)
         book.resting_until_by_id.pop(upstream_id, None)
--- a/packages/core/src/turmericcrank_core/proofs.py
+++ b/packages/core/src/turmericcrank_core/proofs.py
@@ -14,6 +14,8 @@
     'PeerProof',
     'TableProof',
     'is_behind',
+    'may_take_page',
+    'note_page',
     'note_peer_proof',
     'note_reading',
     'plan_read_age_s',
@@ -73,6 +75,23 @@
     _advance(proof, read_s)
 
 
+def may_take_page(proof: TableProof, after: int, version: int) -> bool:
+    """Tell whether a page that a peer has read goes on from this copy.
+
+    Args:
+        proof: What is known of this copy.
+        after: The page holds every change after this version.
+        version: It is complete up to this version.
+    """
+    return after <= proof.read_version < version
+
+
+def note_page(proof: TableProof, version: int, change: int) -> None:
+    """Note that a peer's page was applied; it proves no moment by itself."""
+    proof.read_version = version
+    proof.change = max(proof.change, change)
+
+
 def note_peer_proof(proof: TableProof, peer: PeerProof) -> None:
     """Note what a peer has told of the same table."""
     proof.told_change = max(proof.told_change, peer.change)
--- a/packages/core/src/turmericcrank_core/version_choice.py
+++ b/packages/core/src/turmericcrank_core/version_choice.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+import xxhash
+
 from turmericcrank_core.rollout_phases import RolloutPhase, RolloutState
 from turmericcrank_core.routing import hash_uniform
 
@@ -19,10 +21,13 @@
     'choose_versions',
     'expire_sessions',
     'iter_recent_sessions',
+    'make_session_key',
     'note_session',
     'note_versions',
 )
 
+_KEY_DIGITS = 10
+
 
 @dataclass(slots=True, frozen=True)
 class SessionUse:
@@ -55,6 +60,12 @@
     known_by_service: dict[str, list[str]] = field(default_factory=dict)
 
 
+def make_session_key(service: str, session: str) -> str:
+    """Make the short key by which nodes tell each other of a session."""
+    digest = xxhash.xxh3_64_hexdigest(f'{service}/{session}'.encode())
+    return str(digest)[:_KEY_DIGITS]
+
+
 def note_session(
     book: SessionBook, key: str, version: str, used_s: float
 ) -> None:
--- a/packages/node/src/turmericcrank_node/control/version_evidence.py
+++ b/packages/node/src/turmericcrank_node/control/version_evidence.py
@@ -15,7 +15,7 @@
 from turmericcrank_core.rollout_phases import RolloutOrder
 
 from turmericcrank_node.state.evidence_book import EvidenceCounts
-from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.state.node_state import NodeState, read_boot_s
 
 __all__ = (
     'ALL_ROUTES',
@@ -75,6 +75,7 @@
     counts.n_answers += added.n_answers
     counts.n_errors += added.n_errors
     counts.n_slow += added.n_slow
+    counts.changed_s = read_boot_s()
     _absorb(
         state,
         version_key,
--- a/packages/node/src/turmericcrank_node/membership/news_taking.py
+++ b/packages/node/src/turmericcrank_node/membership/news_taking.py
@@ -6,7 +6,12 @@
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.membership import Peer, note_peer
 from turmericcrank_core.outcomes import note_told_tally
-from turmericcrank_core.proofs import PeerProof, note_peer_proof
+from turmericcrank_core.proofs import (
+    PeerProof,
+    may_take_page,
+    note_page,
+    note_peer_proof,
+)
 from turmericcrank_core.rollout_phases import (
     RolloutOrder,
     RolloutPhase,
@@ -17,11 +22,18 @@
 
 from turmericcrank_node.control.version_evidence import note_told_evidence
 from turmericcrank_node.membership.node_news import NodeNews
+from turmericcrank_node.platform_port import ChangedRow, FeedPage
 from turmericcrank_node.state.evidence_book import EvidenceCounts
 from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.state.table_watch import (
+    apply_configuration,
+    apply_upstreams,
+)
 
 __all__ = ('take_news',)
 
+_MS = 1000
+
 
 def take_news(state: NodeState, news: NodeNews, now_s: float) -> bool:
     """Take one message of a peer.
@@ -35,10 +47,12 @@
         Whether the peer was not heard just before.
     """
     is_new = _take_peer(state, news, now_s)
+    for page in news.pages:
+        _take_page(state, page)
     _take_proofs(state, news)
     state.told_running_by_node[news.node_id] = news.running_by_id
-    for key, version, age_s in news.sessions:
-        note_session(state.sessions, key, version, now_s - age_s)
+    for key, version, age_ms in news.sessions:
+        note_session(state.sessions, key, version, now_s - age_ms / _MS)
     node_key = f'{news.node_id}/{news.incarnation}'
     note_told_tally(state.outcomes, node_key, news.tallies, now_s)
     note_told_evidence(state, node_key, dict(_iter_evidence(news)))
@@ -75,6 +89,20 @@
     return is_new
 
 
+def _take_page(state: NodeState, told: list[Any]) -> None:
+    """Apply changes that the peer has read, if they go on from this copy."""
+    number, after, version, rows = told
+    proof, apply = (
+        (state.configuration_proof, apply_configuration),
+        (state.upstream_proof, apply_upstreams),
+    )[number]
+    if not may_take_page(proof, after, version):
+        return
+    page = FeedPage(tuple(ChangedRow(*row) for row in rows), version, 0)
+    apply(state, page, is_whole=False)
+    note_page(proof, version, max(row.version for row in page.rows))
+
+
 def _take_proofs(state: NodeState, news: NodeNews) -> None:
     """Date the peer's proofs from the message that it echoes."""
     own = (state.configuration_proof, state.upstream_proof)
--- a/packages/node/src/turmericcrank_node/membership/node_news.py
+++ b/packages/node/src/turmericcrank_node/membership/node_news.py
@@ -33,12 +33,17 @@
         proofs: For each table that is followed: version of the last change
             applied, and the age of the proof in seconds; negative for none.
         running_by_id: Requests in progress, by upstream.
-        sessions: Session keys with version and age in seconds.
+        sessions: Session keys with version and age in milliseconds.
         tallies: Upstream, answers and bad answers since the start.
         evidence: Version key, upstream, answers, errors and slow answers
             since the start.
         rollouts: Service, version, seconds, number of the order, phase and
             age of the order in seconds.
+        newcomers: Names and peer addresses of nodes that the sender has
+            heard of late.
+        pages: Changes that the sender has read from the store lately:
+            number of the table, versions before and after, rows of key,
+            version and body.
     """
 
     node_id: str
@@ -56,6 +61,8 @@
     tallies: list[Any] = field(default_factory=list)
     evidence: list[Any] = field(default_factory=list)
     rollouts: list[Any] = field(default_factory=list)
+    newcomers: list[Any] = field(default_factory=list)
+    pages: list[Any] = field(default_factory=list)
 
 
 _NAMES = tuple(part.name for part in fields(NodeNews))
--- a/packages/node/src/turmericcrank_node/membership/peer_news.py
+++ b/packages/node/src/turmericcrank_node/membership/peer_news.py
@@ -15,6 +15,8 @@
     Peer,
     expire_peers,
     iter_heard,
+    iter_newcomers,
+    list_strangers,
 )
 from turmericcrank_core.network_address import split_address
 from turmericcrank_core.proofs import (
@@ -41,19 +43,21 @@
 from turmericcrank_node.platform_port import StoreUnavailable
 from turmericcrank_node.state.node_state import (
     NodeState,
+    ReadPage,
     describe_self,
     read_boot_s,
 )
 
 __all__ = ('serve_peer_news',)
 
-_PACE_S = 0.4
+_PACE_S = 0.8
 _REST_S = 0.05
-_REPEAT_S = 1.3
+_REPEAT_S = 1.8
 _MAX_DATAGRAM = 65000
 _JOIN_PAUSE_S = 1
 _MAX_SESSION_AGE_S = 20
 _LOST_MEMBERS_S = 3
+_MS = 1000
 
 
 @dataclass(slots=True)
@@ -115,11 +119,10 @@
 
 async def _join(state: NodeState, exchange: NewsExchange) -> None:
     """Find the other nodes: by the seeds, and by the store's list."""
-    for address in state.settings.seed_addresses:
-        if address != state.settings.addresses.peer:
-            await _send_to(state, exchange, address)
     is_listed = False
     while True:
+        for address in _list_silent_seeds(state):
+            await _send_to(state, exchange, address)
         if not is_listed:
             written = await state.platform.store.write_member(
                 state.settings.node_id, state.settings.addresses.peer
@@ -131,6 +134,18 @@
         await trio.sleep(_JOIN_PAUSE_S)
 
 
+def _list_silent_seeds(state: NodeState) -> list[str]:
+    """List the seeds that are not heard; one may have started later."""
+    heard = iter_heard(state.members, read_boot_s())
+    known = {peer.peer_address for peer in heard}
+    known.add(state.settings.addresses.peer)
+    return [
+        address
+        for address in state.settings.seed_addresses
+        if address not in known
+    ]
+
+
 async def _greet_listed(state: NodeState, exchange: NewsExchange) -> None:
     found = await state.platform.store.read_members()
     if isinstance(found, StoreUnavailable):
@@ -186,7 +201,7 @@
             name: count for name, count in state.running_by_id.items() if count
         },
         'sessions': [
-            [key, use.version, now_s - use.used_s]
+            [key, use.version, int((now_s - use.used_s) * _MS)]
             for key, use in iter_recent_sessions(
                 state.sessions, now_s - _REPEAT_S
             )
@@ -194,9 +209,18 @@
         'tallies': [
             [upstream_id, tally.n_answers, tally.n_bad]
             for upstream_id, tally in state.outcomes.own_by_id.items()
-            if upstream_id in state.listed.by_id
+            if tally.changed_s >= now_s - _REPEAT_S
+        ],
+        'evidence': list(_iter_evidence_rows(state, now_s - _REPEAT_S)),
+        'newcomers': [
+            [peer.node_id, peer.peer_address]
+            for peer in _iter_introduced(state, now_s)
+        ],
+        'pages': [
+            _describe_page(page)
+            for page in state.read_pages
+            if page.read_s >= now_s - _REPEAT_S
         ],
-        'evidence': list(_iter_evidence_rows(state)),
         'rollouts': [
             _describe_rollout(rollout, now_s)
             for rollout in state.rollouts_by_service.values()
@@ -210,8 +234,25 @@
     return [proof.change, proof_age_s(proof, now_s)]
 
 
-def _iter_evidence_rows(state: NodeState) -> Iterator[list[Any]]:
+def _iter_introduced(state: NodeState, now_s: float) -> Iterator[Peer]:
+    """Yield newcomers and one peer at random, in case a message was lost."""
+    yield from iter_newcomers(state.members, now_s)
+    heard = list(iter_heard(state.members, now_s))
+    if heard:
+        yield state.random_source.choice(heard)
+
+
+def _describe_page(page: ReadPage) -> list[Any]:
+    rows = [[row.key, row.version, row.body] for row in page.page.rows]
+    return [page.table_number, page.after, page.page.version, rows]
+
+
+def _iter_evidence_rows(
+    state: NodeState, since_s: float
+) -> Iterator[list[Any]]:
     for (version_key, upstream_id), counts in iter_own_evidence(state):
+        if counts.changed_s < since_s:
+            continue
         yield [
             version_key,
             upstream_id,
@@ -246,6 +287,11 @@
         exchange.heard_by_id[news.node_id] = Heard(news.sent_s, now_s)
         if take_news(state, news, now_s):
             exchange.silent_ids.discard(news.node_id)
+        strangers = list_strangers(
+            state.members, state.settings.node_id, news.newcomers
+        )
+        for address in strangers:
+            await _send_to(state, exchange, address)
 
 
 def _note_silent(
--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -31,6 +31,7 @@
 __all__ = ('make_state', 'run_router_node')
 
 _BACKLOG = 1024
+_INCARNATION_DIGITS = 12
 _REFUSE_AFTER_S = 2.9
 _LAST_MARGIN_S = 0.4
 _LOOK_PAUSE_S = 0.05
@@ -49,7 +50,7 @@
         platform=platform,
         log=EventLog(settings.node_id, '-', count),
         metrics=metrics,
-        incarnation=uuid.uuid4().hex,
+        incarnation=uuid.uuid4().hex[:_INCARNATION_DIGITS],
         random_source=random.Random(),
     )
 
--- a/packages/node/src/turmericcrank_node/serving/router.py
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -13,6 +13,7 @@
     find_route,
     find_team,
 )
+from turmericcrank_core.version_choice import make_session_key
 
 from turmericcrank_node.platform_port import Call
 from turmericcrank_node.serving.client_connection import (
@@ -111,12 +112,13 @@
     patience_s = route.timeout_s
     if call.patience_s is not None:
         patience_s = min(patience_s, call.patience_s)
-    session_key = call.session or call.request_id
-    service = choose_service(route, session_key)
-    use = state.sessions.uses_by_key.get(f'{service}/{call.session}')
+    session = call.session or call.request_id
+    service = choose_service(route, session)
+    session_key = make_session_key(service, session)
+    use = state.sessions.uses_by_key.get(session_key)
     need = Need(
         service,
-        f'{service}/{session_key}',
+        session_key,
         use.version if use and call.session else '',
         call.prefix,
     )
--- a/packages/node/src/turmericcrank_node/state/evidence_book.py
+++ b/packages/node/src/turmericcrank_node/state/evidence_book.py
@@ -15,11 +15,13 @@
         n_answers: Answers, good and bad.
         n_errors: Failures among them.
         n_slow: Answers that came far slower than the old version's.
+        changed_s: When they last changed, in seconds.
     """
 
     n_answers: int = 0
     n_errors: int = 0
     n_slow: int = 0
+    changed_s: float = 0
 
 
 @dataclass(slots=True)
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -17,15 +17,36 @@
 from turmericcrank_core.version_choice import SessionBook, VersionBook
 
 from turmericcrank_node.event_log import EventLog
-from turmericcrank_node.platform_port import Platform, RouterSettings
+from turmericcrank_node.platform_port import (
+    FeedPage,
+    Platform,
+    RouterSettings,
+)
 from turmericcrank_node.state.evidence_book import EvidenceBook
 from turmericcrank_node.state.router_metrics import RouterMetrics
 
-__all__ = ('NodeState', 'describe_self', 'read_boot_s')
+__all__ = ('NodeState', 'ReadPage', 'describe_self', 'read_boot_s')
 
 _REVOKE_PART = 0.8
 
 
+@dataclass(slots=True, frozen=True)
+class ReadPage:
+    """Changes of one table that this node has read from the store.
+
+    Attributes:
+        table_number: 0 for the configuration, 1 for the upstreams.
+        after: Version of the store before them.
+        page: The changes.
+        read_s: When they were read, in seconds.
+    """
+
+    table_number: int
+    after: int
+    page: FeedPage
+    read_s: float
+
+
 @dataclass(slots=True)
 class NodeState:
     """State of one node."""
@@ -43,6 +64,7 @@
     listed: UpstreamList = field(default_factory=UpstreamList)
     versions: VersionBook = field(default_factory=VersionBook)
     store_offset_s: float = 0
+    read_pages: list[ReadPage] = field(default_factory=list)
     # Changed by peer_news.
     members: Members = field(default_factory=Members)
     told_running_by_node: dict[str, dict[str, int]] = field(
--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import trio
 from turmericcrank_core.event_codes import EventCode
@@ -37,7 +37,11 @@
     HistoryLost,
     StoreUnavailable,
 )
-from turmericcrank_node.state.node_state import NodeState, read_boot_s
+from turmericcrank_node.state.node_state import (
+    NodeState,
+    ReadPage,
+    read_boot_s,
+)
 
 __all__ = ('apply_configuration', 'apply_upstreams', 'serve_table_watch')
 
@@ -46,6 +50,9 @@
 _FAULT_PAUSE_S = 0.25
 _LONG_FAULT_PAUSE_S = 1
 _MS = 1000
+_HAND_OVER_S = 0.15
+_KEEP_PAGE_S = 1.8
+_MAX_PAGE_BYTES = 2000
 
 ApplyRows = Callable[[NodeState, FeedPage, bool], None]
 
@@ -56,17 +63,19 @@
 
     Attributes:
         table: Its name in the store.
+        number: 0 for the configuration, 1 for the upstreams.
         proof: What is known of the copy.
         apply: Takes a page of rows; told whether the page is complete.
         is_lost: Whether the last reading failed.
-        unread: Keys with a newer change than the copy has.
+        behind_since_s: Since when a peer is known to know more.
     """
 
     table: str
+    number: int
     proof: TableProof
     apply: ApplyRows
     is_lost: bool = False
-    unread: set[str] = field(default_factory=set)
+    behind_since_s: float | None = None
 
 
 async def serve_table_watch(state: NodeState) -> None:
@@ -78,6 +87,7 @@
             state,
             TableWatch(
                 platform.configuration_table,
+                0,
                 state.configuration_proof,
                 apply_configuration,
             ),
@@ -86,7 +96,10 @@
             _follow,
             state,
             TableWatch(
-                platform.upstream_table, state.upstream_proof, apply_upstreams
+                platform.upstream_table,
+                1,
+                state.upstream_proof,
+                apply_upstreams,
             ),
         )
 
@@ -95,7 +108,7 @@
     while True:
         now_s = read_boot_s()
         rank = plan_rank(state.members, state.settings.node_id, now_s)
-        is_behind_now = is_behind(watch.proof)
+        is_behind_now = _is_behind_for_long(watch, now_s)
         age_s = proof_age_s(watch.proof, now_s)
         if is_behind_now or age_s >= plan_read_age_s(rank):
             is_reader = rank == 0 and not is_behind_now
@@ -104,6 +117,29 @@
             await trio.sleep(_LOOK_PAUSE_S)
 
 
+def _is_behind_for_long(watch: TableWatch, now_s: float) -> bool:
+    """Tell whether a change is missing that no peer has handed over."""
+    if not is_behind(watch.proof):
+        watch.behind_since_s = None
+        return False
+    if watch.behind_since_s is None:
+        watch.behind_since_s = now_s
+    return now_s - watch.behind_since_s >= _HAND_OVER_S
+
+
+def keep_page(state: NodeState, page: ReadPage) -> None:
+    """Keep small changes for a while, so that peers need not read them."""
+    kept = [
+        known
+        for known in state.read_pages
+        if page.read_s - known.read_s <= _KEEP_PAGE_S
+    ]
+    n_bytes = sum(len(row.body or b'') for row in page.page.rows)
+    if page.page.rows and n_bytes <= _MAX_PAGE_BYTES:
+        kept.append(page)
+    state.read_pages = kept
+
+
 async def _read_once(
     state: NodeState, watch: TableWatch, wait_s: float
 ) -> None:
@@ -131,6 +167,11 @@
         return
     _note_found(state, watch)
     state.store_offset_s = outcome.now_ms / _MS - read_boot_s()
+    if not is_whole:
+        keep_page(
+            state,
+            ReadPage(watch.number, proof.read_version, outcome, asked_s),
+        )
     watch.apply(state, outcome, is_whole)
     change = max((row.version for row in outcome.rows), default=0)
     waited_s = 0 if outcome.rows else wait_s
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -1,10 +1,14 @@
 """Who is heard and where clients may connect."""
 
+from hypothesis import given
+from hypothesis import strategies as st
 from turmericcrank_core.membership import (
     Members,
     Peer,
     expire_peers,
+    iter_newcomers,
     list_client_addresses,
+    list_strangers,
     note_peer,
     plan_rank,
 )
@@ -59,3 +63,40 @@
     assert not note_peer(members, _peer('b', heard_s=10.4))
     assert note_peer(members, _peer('b', heard_s=30))
     assert [peer.node_id for peer in expire_peers(members, 100)] == ['b']
+
+
+@given(
+    st.integers(2, 12),
+    st.lists(st.integers(0, 11), min_size=1, max_size=3, unique=True),
+)
+def test_nodes_that_share_a_seed_all_hear_each_other(n_nodes, seeds):
+    """Replays a start: nodes greet their seeds, which know only them."""
+    nodes = {f'n{number}': Members() for number in range(n_nodes)}
+    seed_names = [f'n{seed % n_nodes}' for seed in seeds]
+    seed_names.append('n0')
+    greetings = [
+        (name, seed) for name in nodes for seed in seed_names if name != seed
+    ]
+    for _ in range(4):
+        _deliver(nodes, greetings)
+        greetings = list(_tell(nodes))
+    for name, members in nodes.items():
+        assert set(members.by_id) == set(nodes) - {name}
+
+
+def _deliver(nodes, greetings):
+    for sender, receiver in greetings:
+        note_peer(nodes[receiver], _peer(sender))
+
+
+def _tell(nodes):
+    """Each node tells its peers of newcomers, whom they greet."""
+    for name, members in nodes.items():
+        told = [
+            (peer.node_id, peer.node_id) for peer in iter_newcomers(members, 10)
+        ]
+        for peer_id in members.by_id:
+            yield name, peer_id
+            strangers = list_strangers(nodes[peer_id], peer_id, told)
+            for stranger in strangers:
+                yield peer_id, stranger
