--- a/packages/core/src/turmericcrank_core/placement.py
+++ b/packages/core/src/turmericcrank_core/placement.py
@@ -30,7 +30,7 @@
         order_cost: Cost of each place down the preferred order.
     """
 
-    away_cost: float = 0.1
+    away_cost: float = 0.4
     busy_running: int = 8
     bad_cost: float = 6
     lapsed_cost: float = 2
--- a/packages/node/src/turmericcrank_node/control/rollout_control.py
+++ b/packages/node/src/turmericcrank_node/control/rollout_control.py
@@ -32,7 +32,7 @@
 
 _PACE_S = 0.1
 _RETRY_S = 0.3
-_RANK_DELAY_S = 0.5
+_RANK_DELAY_S = 0.15
 _MAX_DELAY_RANK = 4
 _MS = 1000
 
--- a/packages/node/src/turmericcrank_node/serving/plain_call.py
+++ b/packages/node/src/turmericcrank_node/serving/plain_call.py
@@ -11,6 +11,7 @@
 from turmericcrank_node.platform_port import Sending
 from turmericcrank_node.serving.client_connection import ClientExchange
 from turmericcrank_node.serving.work import (
+    Verdict,
     Work,
     begin_attempt,
     end_attempt,
@@ -173,21 +174,13 @@
     outcome: _Whole | AttemptFault,
     needed_s: float,
 ) -> None:
-    if isinstance(outcome, _Whole):
+    if isinstance(outcome, AttemptFault):
+        verdict = Verdict(outcome.reason, is_silent=outcome.is_silent)
+    else:
         is_error = outcome.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        fault = f'status {outcome.status}' if is_error else ''
-        is_slow = is_slow_answer(
-            state, upstream, work.route.name, needed_s, _FAST_S
-        )
-        judge_attempt(
-            state,
-            work,
-            upstream,
-            fault,
-            is_slow=is_slow,
+        verdict = Verdict(
+            f'status {outcome.status}' if is_error else '',
+            is_slow_answer(state, upstream, work.route.name, needed_s, _FAST_S),
             is_own_failure=is_error,
         )
-        return
-    judge_attempt(
-        state, work, upstream, outcome.reason, is_silent=outcome.is_silent
-    )
+    judge_attempt(state, work, upstream, verdict)
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -31,6 +31,7 @@
     StreamProgress,
 )
 from turmericcrank_node.serving.work import (
+    Verdict,
     Work,
     begin_attempt,
     end_attempt,
@@ -255,25 +256,14 @@
     _log_attempt(state, work, progress, upstream, outcome, is_slow)
     if outcome is _CLIENT_GONE or outcome is _DEADLINE:
         if is_slow:
-            judge_attempt(state, work, upstream, '', is_slow=True)
+            judge_attempt(state, work, upstream, Verdict(is_slow=True))
     elif isinstance(outcome, AttemptFault):
-        judge_attempt(
-            state,
-            work,
-            upstream,
-            outcome.reason,
-            is_silent=outcome.is_silent,
-        )
+        verdict = Verdict(outcome.reason, is_silent=outcome.is_silent)
+        judge_attempt(state, work, upstream, verdict)
     else:
         error = _find_error(outcome)
-        judge_attempt(
-            state,
-            work,
-            upstream,
-            error,
-            is_slow=is_slow,
-            is_own_failure=bool(error),
-        )
+        verdict = Verdict(error, is_slow, is_own_failure=bool(error))
+        judge_attempt(state, work, upstream, verdict)
 
 
 def _find_error(outcome: StreamOutcome) -> str:
@@ -305,6 +295,7 @@
         events=pace.n_events,
         events_s=round(pace.last_s - pace.first_s, 3),
         pause_s=round(statistics.median(pace.pauses_s or [0]), 4),
+        longest_s=round(max(pace.pauses_s, default=0), 3),
         slow=is_slow,
     )
 
--- a/packages/node/src/turmericcrank_node/serving/work.py
+++ b/packages/node/src/turmericcrank_node/serving/work.py
@@ -22,6 +22,7 @@
 from turmericcrank_node.upstreams.candidates import Need, choose, find_rollout
 
 __all__ = (
+    'Verdict',
     'Work',
     'begin_attempt',
     'end_attempt',
@@ -62,6 +63,25 @@
     n_sent: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """How one attempt went.
+
+    Attributes:
+        fault: What went wrong; empty when nothing did.
+        is_slow: Whether it came far slower than usual; None if unknown.
+        is_silent: Whether the upstream did not speak at all; then it rests,
+            and its version is not blamed.
+        is_own_failure: Whether the fault is a whole failure of its own; a
+            broken connection says nothing of a version.
+    """
+
+    fault: str = ''
+    is_slow: bool | None = None
+    is_silent: bool = False
+    is_own_failure: bool = False
+
+
 def time_left_s(work: Work) -> float:
     """Give the time until the client must have its answer, in seconds."""
     return work.ends_s - trio.current_time()
@@ -111,33 +131,14 @@
 
 
 def judge_attempt(
-    state: NodeState,
-    work: Work,
-    upstream: ListedUpstream,
-    fault: str,
-    *,
-    is_slow: bool | None = None,
-    is_silent: bool = False,
-    is_own_failure: bool = False,
+    state: NodeState, work: Work, upstream: ListedUpstream, verdict: Verdict
 ) -> None:
-    """Count how an attempt went, for its upstream and for its version.
-
-    Args:
-        state: The node.
-        work: The request.
-        upstream: Where it was.
-        fault: What went wrong; empty when nothing did.
-        is_slow: Whether it came far slower than usual; None if unknown.
-        is_silent: Whether the upstream did not speak at all; then it rests,
-            and its version is not blamed.
-        is_own_failure: Whether the fault is a whole failure of its own; a
-            broken connection says nothing of a version.
-    """
+    """Count how an attempt went, for its upstream and for its version."""
     now_s = read_boot_s()
     upstream_id = upstream.upstream_id
-    is_bad = bool(fault)
+    is_bad = bool(verdict.fault)
     note_outcome(state.outcomes, upstream_id, is_bad, now_s)
-    if is_silent:
+    if verdict.is_silent:
         rest_upstream(state.outcomes, upstream_id, now_s)
     if is_bad:
         state.log.write(
@@ -145,19 +146,19 @@
             request=work.call.request_id,
             upstream=upstream_id,
             version=upstream.version,
-            reason=fault,
+            reason=verdict.fault,
         )
     rollout = find_rollout(state, upstream.service)
     if rollout is None or rollout.phase.is_final:
         return
-    if is_own_failure or not is_bad:
+    if verdict.is_own_failure or not is_bad:
         note_version_answer(
             state,
             rollout.order,
             upstream,
             work.route.name,
-            is_own_failure,
-            is_slow,
+            verdict.is_own_failure,
+            verdict.is_slow,
         )
 
 
