--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -127,13 +127,15 @@
         return None
     ladder = relay.progress.ladder
     largest = ladder.models[-1] if ladder.models else ''
+    larger_s = forecast_s(
+        state.forecast, (work.route.name, largest), read_boot_s()
+    )
+    # What the small model had to wait shows the queue of its engine.
     doubt = Doubt(
         confidence=relay.answering.head.confidence,
         load=service_load(state, work.need.service),
         elapsed_s=trio.current_time() - work.call.request.arrived_s,
-        larger_s=forecast_s(
-            state.forecast, (work.route.name, largest), read_boot_s()
-        ),
+        larger_s=max(larger_s, relay.progress.pace.head_s),
         objective_s=work.route.objective_s,
     )
     step = plan_larger(ladder, doubt, _LADDER)
