Give the first requests of a roll-out a larger share

Ruled out: a lower threshold (it would stop healthy versions). Change: until half of the allowed slack is answered, new sessions get 2.5 times the canary share.

--- a/packages/core/src/turmericcrank_core/rollout_phases.py
+++ b/packages/core/src/turmericcrank_core/rollout_phases.py
@@ -24,6 +24,8 @@
 _CANARY_PART = 0.35
 _FULL_PART = 0.62
 _DONE_PART = 0.35
+_EARLY_PART = 0.5
+_EARLY_FACTOR = 2.5
 
 
 class RolloutPhase(enum.IntEnum):
@@ -74,14 +76,24 @@
     began_s: float
 
 
-def plan_canary_share(exposure_share: float) -> float:
+def plan_canary_share(
+    exposure_share: float, exposure_slack: float, n_answers: int
+) -> float:
     """Plan the share of new sessions that a young roll-out gets.
 
+    The first requests get a larger share, so that there is evidence early
+    where requests are few; they come out of the slack.
+
     Args:
         exposure_share: Largest share of the requests of a service that a
             version may get before its roll-out has to be done.
+        exposure_slack: Requests that it may get beyond that share.
+        n_answers: Answers of the version that all nodes have seen.
     """
-    return _CANARY_PART * exposure_share
+    share = _CANARY_PART * exposure_share
+    if n_answers < _EARLY_PART * exposure_slack:
+        share *= _EARLY_FACTOR
+    return share
 
 
 def plan_full_s(duration_s: float, exposure_share: float) -> float:
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -64,6 +64,7 @@
         retry_slack: Retries allowed beyond that.
         exposure_share: Largest share of a service's requests that a version
             may get before its roll-out has to be done.
+        exposure_slack: Requests that it may get beyond that share.
     """
 
     revoke_s: float = 5
@@ -73,6 +74,7 @@
     retry_ratio: float = 0.5
     retry_slack: float = 50
     exposure_share: float = 0.15
+    exposure_slack: float = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/node/src/turmericcrank_node/upstreams/candidates.py
+++ b/packages/node/src/turmericcrank_node/upstreams/candidates.py
@@ -17,6 +17,7 @@
 from turmericcrank_core.upstream_rows import ListedUpstream, iter_usable
 from turmericcrank_core.version_choice import choose_versions
 
+from turmericcrank_node.control.version_evidence import count_answers
 from turmericcrank_node.state.node_state import NodeState, read_boot_s
 
 __all__ = ('Need', 'choose', 'count_running', 'find_rollout', 'service_load')
@@ -52,7 +53,7 @@
         find_rollout(state, need.service),
         need.session_version,
         need.session_key,
-        plan_canary_share(state.settings.bounds.exposure_share),
+        _plan_share(state, need.service),
     )
     for version in versions:
         candidates = [
@@ -67,6 +68,18 @@
     return None
 
 
+def _plan_share(state: NodeState, service: str) -> float:
+    """Plan the share of new sessions that a new version of it gets."""
+    rollout = state.rollouts_by_service.get(service)
+    if rollout is None:
+        return 0
+    bounds = state.settings.bounds
+    n_answers = count_answers(state, service, rollout.order.number)
+    return plan_canary_share(
+        bounds.exposure_share, bounds.exposure_slack, n_answers
+    )
+
+
 def find_rollout(state: NodeState, service: str) -> RolloutState | None:
     """Find the roll-out of a service as this node follows it."""
     rollout = state.rollouts_by_service.get(service)
--- a/tests/core/test_rollout_phases.py
+++ b/tests/core/test_rollout_phases.py
@@ -38,8 +38,10 @@
     """Replays the day on which a version was bad only under load."""
     exposed = 0.0
     for now_s, phase in _play(duration_s, float('inf'), share):
+        part = plan_canary_share(share, _SLACK, int(exposed))
+        if phase >= RolloutPhase.full:
+            part = 1
         if now_s < duration_s:
-            part = 1 if phase >= RolloutPhase.full else plan_canary_share(share)
             exposed += part * per_s * _STEP_S
     n_requests = per_s * duration_s
     assert exposed <= share * n_requests + _SLACK
@@ -85,3 +87,13 @@
 
 def test_the_last_part_grows_with_the_duration():
     assert plan_full_s(24, _SHARE) > plan_full_s(12, _SHARE)
+
+
+def test_a_slow_version_with_few_requests_is_tried_early():
+    """Replays rollout-slow --seed 591885335847: 13 answers in 14 s."""
+    per_s = 20
+    early = plan_canary_share(_SHARE, _SLACK, 0) * per_s
+    later = plan_canary_share(_SHARE, _SLACK, _SLACK) * per_s
+    assert early * 8 > 15
+    assert later < early / 2
+    assert plan_canary_share(_SHARE, 0, 0) * per_s == later
