--- a/packages/dev/src/turmericcrank_dev/bench.py
+++ b/packages/dev/src/turmericcrank_dev/bench.py
@@ -13,6 +13,7 @@
 from turmericcrank_dev.experiments.overload import run_overload
 from turmericcrank_dev.experiments.results import BenchLine, format_line
 from turmericcrank_dev.memory_bench import run_memory
+from turmericcrank_dev.news_bench import run_news
 from turmericcrank_dev.node_bench import run_node_costs
 
 __all__ = ('main',)
@@ -27,6 +28,7 @@
     'memory': run_memory,
     'node': run_node_costs,
     'slopes': run_node_slopes,
+    'news': run_news,
 }
 
 
--- /dev/null
+++ b/packages/dev/src/turmericcrank_dev/news_bench.py
@@ -0,0 +1,62 @@
+"""Measures one message between nodes of the router on a platform."""
+
+import time
+from collections.abc import Iterator
+
+from turmericcrank_node.membership.node_news import (
+    NodeNews,
+    pack_news,
+    unpack_news,
+)
+
+from turmericcrank_dev.experiments.results import BenchLine, make_line
+
+__all__ = ('run_news',)
+
+_US = 1e6
+_N_MESSAGES = 5000
+_N_SESSIONS = (0, 8, 60)
+
+
+def run_news() -> Iterator[BenchLine]:
+    """Measure bytes and time of a message against what it tells of.
+
+    The time is that of packing and unpacking one message; sending and
+    taking it are not in it.
+    """
+    first: list[float] = []
+    for n_sessions in _N_SESSIONS:
+        news = _make_news(n_sessions)
+        figures = [float(len(pack_news(news))), _time_message(news)]
+        first = first or figures
+        name = f'news.{n_sessions}_sessions'
+        yield make_line(f'{name}.bytes', figures[0], 'B', baseline=first[0])
+        yield make_line(f'{name}.time', figures[1], 'us', baseline=first[1])
+
+
+def _make_news(n_sessions: int) -> NodeNews:
+    """Make a message with as many upstreams in use as sessions, up to 16."""
+    upstream_ids = [f'i-{number:010x}' for number in range(n_sessions)]
+    return NodeNews(
+        node_id='front-data-centre-1',
+        incarnation='0123456789ab',
+        data_centre='data-centre',
+        peer_address='10.1.0.40:8229',
+        client_address='10.1.0.40:8227',
+        is_ready=True,
+        sent_s=1000.5,
+        echo_s=999.5,
+        echo_held_s=0.25,
+        proofs=[[40, 0.5], [90, 0.5]],
+        running_by_id=dict.fromkeys(upstream_ids[:16], 2),
+        sessions=[[name[:10], 'v1', 400] for name in upstream_ids],
+        tallies=[[name, 40, 1] for name in upstream_ids[:16]],
+    )
+
+
+def _time_message(news: NodeNews) -> float:
+    """Give the mean time of one message in microseconds."""
+    began_s = time.perf_counter()
+    for _ in range(_N_MESSAGES):
+        unpack_news(pack_news(news))
+    return (time.perf_counter() - began_s) / _N_MESSAGES * _US
