Show operators what is in force, and drop what nothing uses

Cause: on the platform operators had no command; some decoded fields (services, pause objectives, prompt tokens) decided nothing. Ruled out: a call to a node for it; the store answers while nodes are down.

--- a/packages/core/src/turmericcrank_core/routing.py
+++ b/packages/core/src/turmericcrank_core/routing.py
@@ -7,7 +7,7 @@
 import enum
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import xxhash
 
@@ -16,7 +16,6 @@
     'ClientLimits',
     'ForwardRoute',
     'RouteTable',
-    'Service',
     'ServiceShare',
     'Team',
     'choose_service',
@@ -57,7 +56,6 @@
         timeout_s: Longest time that a client is kept waiting, in seconds.
         objective_s: Latency objective, in seconds; of a stream, up to its
             first event.
-        gap_objective_s: Longest pause between events that is still in time.
         priority: Rank of the route, 0 is served first.
         max_attempts: Most upstreams that may run one request.
         is_public: Whether a request needs no key.
@@ -73,7 +71,6 @@
     kind: CallKind
     timeout_s: float
     objective_s: float
-    gap_objective_s: float
     priority: int
     max_attempts: int
     is_public: bool
@@ -89,27 +86,6 @@
         return self.kind is CallKind.idempotent
 
 
-@dataclass(slots=True, frozen=True)
-class Service:
-    """What the operators say of a service.
-
-    Attributes:
-        name: Name of the row.
-        health_path: Path of its health check.
-        max_connections: Connections that one upstream accepts from all.
-        slots: Requests that one engine runs at once; 0 for plain services.
-        kv_tokens: Tokens that the memory of one engine holds.
-        cost_by_model: Cost of 1,000 generated tokens.
-    """
-
-    name: str
-    health_path: str = ''
-    max_connections: int = 0
-    slots: int = 0
-    kv_tokens: int = 0
-    cost_by_model: Mapping[str, float] = field(default_factory=dict)
-
-
 @dataclass(slots=True, frozen=True)
 class Team:
     """A team that may call.
@@ -147,14 +123,12 @@
     Attributes:
         revision: Number of the revision; only a higher one replaces it.
         routes_by_host: Routes of each host, the longest prefix first.
-        services_by_name: Services.
         teams_by_key: Teams by their keys; None when no key is needed.
         limits: Limits of clients.
     """
 
     revision: int
     routes_by_host: Mapping[str, tuple[ForwardRoute, ...]]
-    services_by_name: Mapping[str, Service]
     teams_by_key: Mapping[str, Team] | None
     limits: ClientLimits = ClientLimits()
 
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -111,7 +111,6 @@
         patience_s: How long the client waits, in seconds; None if unsaid.
         session: Session that it belongs to; empty without one.
         prefix: Last part of its prompt that others share; empty without one.
-        n_prompt_tokens: Tokens of its prompt; 0 if unsaid.
         last_event_id: Event after which a stream goes on; empty for all.
         leaves_model_open: Whether the router names the model.
     """
@@ -124,7 +123,6 @@
     patience_s: float | None
     session: str
     prefix: str
-    n_prompt_tokens: int
     last_event_id: str
     leaves_model_open: bool
 
--- /dev/null
+++ b/tests/platform/test_store_calls.py
@@ -0,0 +1,199 @@
+"""The adapter's calls to the store."""
+
+import base64
+import threading
+
+import orjson
+import pytest
+import trio
+from turmericcrank_core.rollout_phases import RolloutOrder, RolloutPhase
+from turmericcrank_node.platform_port import (
+    ChangedRow,
+    Conflict,
+    FeedPage,
+    HistoryLost,
+    RolloutRow,
+    StoreUnavailable,
+)
+from turmericcrank_platform.show import show_site
+from turmericcrank_platform.store import make_store
+
+
+class _Store:
+    """Answers each call with the next status and body."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def serve(self, task_status):
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        host, port = listeners[0].socket.getsockname()
+        task_status.started(f'{host}:{port}')
+        await trio.serve_listeners(self._answer, listeners)
+
+    async def _answer(self, stream):
+        raw = await stream.receive_some()
+        self.calls.append(raw)
+        answer = self.answers.pop(0)
+        if answer is not None:
+            status, body = answer
+            text = orjson.dumps(body)
+            head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n'
+            await stream.send_all(head.encode() + text)
+        await stream.aclose()
+
+
+def _call(work, *answers):
+    store = _Store(*answers)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(store.serve)
+            outcome = await work(make_store(address))
+            nursery.cancel_scope.cancel()
+        return outcome
+
+    return trio.run(main), store.calls
+
+
+def _page(*rows, **more):
+    return {'rows': list(rows), 'ver': 40, 'now-ms': 7, **more}
+
+
+def _stored(key, version, body):
+    text = base64.b64encode(orjson.dumps(body)).decode()
+    return {'key': key, 'ver': version, 'value': text}
+
+
+def test_changes_are_read_with_deletions():
+    gone = {'key': 'b', 'ver': 39, 'deleted': True}
+    page, calls = _call(
+        lambda store: store.read_changes('op', 12, 0.7),
+        (200, _page(_stored('a', 38, 1), gone)),
+    )
+    rows = (ChangedRow('a', 38, b'1'), ChangedRow('b', 39, None))
+    assert page == FeedPage(rows, 40, 7)
+    assert b'/-/rows-feed?table=op&after=12&wait-ms=700 ' in calls[0]
+
+
+def test_a_table_is_read_to_its_end():
+    page, calls = _call(
+        lambda store: store.read_table('servers'),
+        (200, _page(_stored('a', 3, 1), truncated=True)),
+        (200, _page(_stored('b', 4, 2), truncated=False)),
+    )
+    assert [row.key for row in page.rows] == ['a', 'b']
+    assert b'from=a%00' in calls[1]
+
+
+@pytest.mark.parametrize(
+    ('answer', 'kind'),
+    [
+        ((410, {}), HistoryLost),
+        ((503, {}), StoreUnavailable),
+        ((429, {}), StoreUnavailable),
+        (None, StoreUnavailable),
+    ],
+)
+def test_what_the_store_does_not_answer_is_told_apart(answer, kind):
+    outcome, _ = _call(lambda store: store.read_changes('op', 1, 0), answer)
+    assert isinstance(outcome, kind)
+
+
+def test_progress_is_written_under_a_condition_with_the_status():
+    order = RolloutOrder('s1', 'v2', 12, 33)
+    row = RolloutRow(order, RolloutPhase.rolled_back, 5.0, 8)
+    written, calls = _call(
+        lambda store: store.write_rollout(row), (200, {'ver': 41})
+    )
+    assert written == 41
+    body = orjson.loads(calls[0].partition(b'\r\n\r\n')[2])
+    assert body['expect-rev'][0]['ver'] == 8
+    status = orjson.loads(base64.b64decode(body['puts'][1]['value']))
+    assert body['puts'][1]['table'] == 'status'
+    assert status == {'service': 's1', 'to': 'v2', 'state': 'rolled_back'}
+    lost, _ = _call(lambda store: store.write_rollout(row), (412, {}))
+    assert isinstance(lost, Conflict)
+
+
+def test_progress_is_read_as_it_was_written():
+    held = {
+        'version': 'v2',
+        'duration_s': 12,
+        'number': 33,
+        'phase': 2,
+        'began_ms': 5.0,
+    }
+    row, _ = _call(
+        lambda store: store.read_rollout('s1'),
+        (200, _page(_stored('s1', 8, held))),
+    )
+    order = RolloutOrder('s1', 'v2', 12, 33)
+    assert row == RolloutRow(order, RolloutPhase.full, 5.0, 8)
+    none, _ = _call(lambda store: store.read_rollout('s1'), (200, _page()))
+    assert none is None
+
+
+def test_operators_are_shown_what_is_in_force(capsys):
+    route = {
+        'name': 'r1',
+        'host': 'site.example',
+        'prefix': '/plans/',
+        'kind': 'idempotent',
+        'timeout-ms': 900,
+        'service': 's1',
+    }
+    table = {'version': 7, 'routes': [route], 'services': []}
+    order = {'service': 's1', 'to': 'v2', 'duration-s': 12}
+    held = {
+        'version': 'v2',
+        'duration_s': 12,
+        'number': 33,
+        'phase': 4,
+        'began_ms': 5.0,
+    }
+    answers = (
+        _page(_stored('config', 3, table), _stored('rollout/s1', 33, order)),
+        _page(_stored('s1', 8, held)),
+        _page(_stored('i-1', 4, {'service': 's1'})),
+        _page(_stored('n1', 5, {'address': '10.0.0.1:3'})),
+    )
+    _show(*((200, page) for page in answers))
+    assert capsys.readouterr().out.splitlines() == [
+        'revision 7, version of row 3',
+        'route r1 site.example/plans/: s1 1',
+        'roll-out s1 to v2: rolled_back',
+        'upstream i-1: malformed row',
+        'node n1 at 10.0.0.1:3',
+    ]
+
+
+def test_a_store_that_does_not_answer_is_told(capsys):
+    with pytest.raises(SystemExit):
+        _show((503, {}))
+    assert 'status 503' in capsys.readouterr().err
+
+
+def _show(*answers):
+    """Run the command against a store in a thread of its own."""
+    store = _Store(*answers)
+    started = threading.Event()
+    address = []
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            address.append(await nursery.start(store.serve))
+            started.set()
+            while store.answers:
+                await trio.sleep(0.01)
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+
+    thread = threading.Thread(target=trio.run, args=(main,))
+    thread.start()
+    started.wait()
+    try:
+        show_site(address[0])
+    finally:
+        thread.join()
--- a/tests/serving/test_crashes.py
+++ b/tests/serving/test_crashes.py
@@ -5,13 +5,15 @@
 
 from tests.router_builders import make_route, make_table
 from tests.router_fakes import (
-    answer_bytes,
     make_node_state,
     open_client,
     read_until,
     request_bytes,
     start_upstreams,
 )
+from tests.upstream_fakes import (
+    answer_bytes,
+)
 
 
 class _Crashing:
--- a/tests/serving/test_stream_calls.py
+++ b/tests/serving/test_stream_calls.py
@@ -6,14 +6,16 @@
 
 from tests.router_builders import make_route, make_table
 from tests.router_fakes import (
-    END_CHUNK,
-    answer_bytes,
-    event_chunk,
     make_node_state,
     open_client,
     read_until,
     request_bytes,
     start_upstreams,
+)
+from tests.upstream_fakes import (
+    END_CHUNK,
+    answer_bytes,
+    event_chunk,
     stream_head,
 )
 
