Trust no echo of an earlier start, and let no signal cut a drain

Cause, found by reading the change as a newcomer: a peer that echoes a message of a node's earlier start would date its proof on a clock that has begun anew since (a key could be honoured far too long); and the handlers of signals were restored when a drain began, so that a second SIGTERM or a SIGHUP ended the process at once. Ruled out: comparing the echo with the clock; it may fit by chance.

--- a/packages/node/src/turmericcrank_node/membership/news_taking.py
+++ b/packages/node/src/turmericcrank_node/membership/news_taking.py
@@ -107,11 +107,16 @@
 
 
 def _take_proofs(state: NodeState, news: NodeNews) -> None:
-    """Date the peer's proofs from the message that it echoes."""
+    """Date the peer's proofs from the message that it echoes.
+
+    A message of an earlier start of this node says nothing: the clock may
+    have begun anew since then.
+    """
+    is_own = news.echo_s >= 0 and news.echo_incarnation == state.incarnation
     own = (state.configuration_proof, state.upstream_proof)
     for proof, (change, age_s) in zip(own, news.proofs, strict=True):
         proven_s = float('-inf')
-        if news.echo_s >= 0 and age_s >= 0:
+        if is_own and age_s >= 0:
             proven_s = news.echo_s + news.echo_held_s - age_s
         note_peer_proof(proof, PeerProof(change, proven_s))
 
--- a/packages/node/src/turmericcrank_node/membership/node_news.py
+++ b/packages/node/src/turmericcrank_node/membership/node_news.py
@@ -29,6 +29,7 @@
         sent_s: When it was sent, on the sender's clock.
         echo_s: ``sent_s`` of the newest message from the receiver; negative
             for none.
+        echo_incarnation: Start of the receiver that sent that message.
         echo_held_s: How long the sender has had that message.
         proofs: For each table that is followed: version of the last change
             applied, and the age of the proof in seconds; negative for none.
@@ -56,6 +57,7 @@
     is_ready: bool
     sent_s: float
     echo_s: float
+    echo_incarnation: str
     echo_held_s: float
     proofs: list[Any] = field(default_factory=list)
     running_by_id: dict[str, int] = field(default_factory=dict)
--- a/packages/node/src/turmericcrank_node/membership/peer_news.py
+++ b/packages/node/src/turmericcrank_node/membership/peer_news.py
@@ -67,10 +67,12 @@
     Attributes:
         sent_s: When it was sent, on the peer's clock.
         received_s: When it was read, on this node's clock.
+        incarnation: Start of the peer that sent it.
     """
 
     sent_s: float
     received_s: float
+    incarnation: str
 
 
 @dataclass(slots=True)
@@ -178,6 +180,7 @@
         is_ready=own.is_ready,
         sent_s=now_s,
         echo_s=heard.sent_s if heard else -1,
+        echo_incarnation=heard.incarnation if heard else '',
         echo_held_s=now_s - heard.received_s if heard else 0,
         **shared,
     )
@@ -289,7 +292,9 @@
         if news is None or news.node_id == state.settings.node_id:
             continue
         now_s = read_boot_s()
-        exchange.heard_by_id[news.node_id] = Heard(news.sent_s, now_s)
+        exchange.heard_by_id[news.node_id] = Heard(
+            news.sent_s, now_s, news.incarnation
+        )
         if take_news(state, news, now_s):
             exchange.silent_ids.discard(news.node_id)
         strangers = list_strangers(
--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import uuid
+from collections.abc import AsyncIterator
 from dataclasses import replace
 from functools import partial
 
@@ -124,11 +125,27 @@
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as signals:
-        async for number in signals:
-            if number != signal.SIGHUP:
-                break
-            state.log.write(EventCode.settings_reloaded, changed=_reload(state))
-    await _drain(state)
+        await _take_signals(state, signals)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_ignore_signals, state, signals)
+            await _drain(state)
+            nursery.cancel_scope.cancel()
+
+
+async def _take_signals(state: NodeState, signals: AsyncIterator[int]) -> None:
+    """Reload on each SIGHUP, until the node is told to stop."""
+    async for number in signals:
+        if number != signal.SIGHUP:
+            return
+        state.log.write(EventCode.settings_reloaded, changed=_reload(state))
+
+
+async def _ignore_signals(
+    state: NodeState, signals: AsyncIterator[int]
+) -> None:
+    """Let no further signal cut a drain that is under way."""
+    async for number in signals:
+        state.log.write(EventCode.drain_started, repeated=int(number))
 
 
 async def _watch_settings(state: NodeState) -> None:
--- a/tests/membership/test_news.py
+++ b/tests/membership/test_news.py
@@ -36,6 +36,7 @@
         'is_ready': True,
         'sent_s': 3.0,
         'echo_s': -1.0,
+        'echo_incarnation': '',
         'echo_held_s': 0.0,
         'proofs': [[0, -1], [0, -1]],
     }
@@ -72,7 +73,10 @@
     proof.proven_s = asked_s - 100
     now_s = asked_s + held_s + buffered_s
     news = _news(
-        echo_s=asked_s, echo_held_s=held_s, proofs=[[1, age_s], [0, -1]]
+        echo_s=asked_s,
+        echo_incarnation=state.incarnation,
+        echo_held_s=held_s,
+        proofs=[[1, age_s], [0, -1]],
     )
     take_news(state, news, now_s)
     assert proof_age_s(proof, now_s) >= buffered_s + age_s - 1e-6
@@ -85,6 +89,19 @@
     assert state.configuration_proof.proven_s == before
 
 
+def test_an_echo_of_an_earlier_start_of_this_node_proves_nothing():
+    """Replays a VM that lost its power: its clock has begun anew."""
+    state = _state()
+    before = state.configuration_proof.proven_s
+    news = _news(
+        echo_s=before + 5000,
+        echo_incarnation='of an earlier start',
+        proofs=[[1, 0.1], [0, -1]],
+    )
+    take_news(state, news, read_boot_s())
+    assert state.configuration_proof.proven_s == before
+
+
 def test_a_peer_that_knows_more_makes_this_node_read():
     state = _state()
     take_news(state, _news(proofs=[[9, 0.0], [0, -1]]), read_boot_s())
--- /dev/null
+++ b/tests/serving/test_drain.py
@@ -0,0 +1,67 @@
+"""A planned stop in steps, whatever signals follow."""
+
+import os
+import signal
+from dataclasses import replace
+
+import trio
+from turmericcrank_node import router_node
+
+from tests.router_builders import make_route, make_table
+from tests.router_fakes import make_node_state
+
+
+def _drain(*later, busy_s=0.0, grace_s=8.0):
+    """Stop a node, send it more signals, and give its steps with times."""
+
+    async def main():
+        state = make_node_state(make_table(make_route()))
+        bounds = replace(state.settings.bounds, grace_s=grace_s)
+        state.settings = replace(state.settings, bounds=bounds)
+        began_s = trio.current_time()
+        steps = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(router_node._wait_for_stop, state)
+            nursery.start_soon(_watch, state, steps, began_s)
+            await trio.sleep(0.05)
+            os.kill(os.getpid(), signal.SIGTERM)
+            for number in later:
+                await trio.sleep(0.2)
+                os.kill(os.getpid(), number)
+            state.n_requests = int(busy_s > 0)
+            await trio.sleep(busy_s)
+            state.n_requests = 0
+        return state, steps, trio.current_time() - began_s
+
+    return trio.run(main)
+
+
+async def _watch(state, steps, began_s):
+    while not state.is_refusing:
+        await trio.sleep(0.01)
+        if state.is_stopping and not steps:
+            steps.append(trio.current_time() - began_s)
+    steps.append(trio.current_time() - began_s)
+
+
+def test_a_stop_leaves_the_addresses_at_once_and_refuses_later():
+    state, steps, whole_s = _drain()
+    left_s, refused_s = steps
+    assert left_s < 0.3
+    assert 2.5 < refused_s < 3.2
+    assert whole_s < 5
+    assert not state.is_ready
+
+
+def test_a_second_stop_or_a_reload_cuts_nothing():
+    later = signal.SIGTERM, signal.SIGHUP, signal.SIGINT
+    state, steps, _ = _drain(*later)
+    assert len(steps) == 2
+    names = state.log.names()
+    assert names.count('drain_started') == 4
+    assert names[-1] == 'drain_left_addresses'
+
+
+def test_a_node_that_is_busy_ends_before_it_is_killed():
+    _, _, whole_s = _drain(busy_s=4.5, grace_s=4.0)
+    assert whole_s < 4.0 + 0.8
