Share retries by the nodes that hear each other, and wait for slow bodies

Change: the slack is divided by the nodes that are heard; times of reading shrink with tight promises; a body may take the idle time for each part. Ruled out: a fixed larger divisor (a node alone would have no retry).

--- a/packages/core/src/turmericcrank_core/proofs.py
+++ b/packages/core/src/turmericcrank_core/proofs.py
@@ -18,6 +18,7 @@
     'note_page',
     'note_peer_proof',
     'note_reading',
+    'plan_cadence',
     'plan_read_age_s',
     'proof_age_s',
 )
@@ -25,6 +26,8 @@
 _FIRST_AGE_S = 1.1
 _AGE_STEP_S = 0.1
 _MAX_STEPS = 8
+_USUAL_S = 2
+_USUAL_REVOKE_S = 5
 
 
 @dataclass(slots=True, frozen=True)
@@ -111,6 +114,19 @@
     return now_s - proof.proven_s
 
 
+def plan_cadence(apply_s: float, drain_s: float, revoke_s: float) -> float:
+    """Plan by how much all times of reading shrink for tight promises.
+
+    Args:
+        apply_s: Longest time until a configuration is in force.
+        drain_s: Longest time until a leaving upstream gets nothing.
+        revoke_s: Longest time for which a removed key may work.
+    """
+    return min(
+        1, apply_s / _USUAL_S, drain_s / _USUAL_S, revoke_s / _USUAL_REVOKE_S
+    )
+
+
 def plan_read_age_s(rank: int) -> float:
     """Plan the age of a proof at which a node reads the store itself.
 
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -56,17 +56,21 @@
     """Promises of the site that decide how the router behaves.
 
     Attributes:
+        apply_s: Longest time until a configuration is in force.
+        drain_s: Longest time until a leaving upstream gets nothing.
         revoke_s: Longest time for which a removed key may work.
         grace_s: Time from the request to stop until the process is killed.
         session_s: Longest pause within a session.
         keep_s: Longest time for which clients may keep an address.
         retry_ratio: Retries allowed for each first attempt, over all nodes.
-        retry_slack: Retries allowed beyond that.
+        retry_slack: Retries allowed beyond that, over all nodes.
         exposure_share: Largest share of a service's requests that a version
             may get before its roll-out has to be done.
         exposure_slack: Requests that it may get beyond that share.
     """
 
+    apply_s: float = 2
+    drain_s: float = 2
     revoke_s: float = 5
     grace_s: float = 8
     session_s: float = 5
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -21,6 +21,7 @@
 _READ_BYTES = 65536
 _LINGER_S = 1
 _MAX_EARLY_BYTES = 65536
+_TIMED_OUT = object()
 _BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -207,36 +208,34 @@
     policy: ConnectionPolicy, connection: _Connection
 ) -> ClientRequest | None:
     """Read the next request; None when there is none any more."""
-    event = connection.parser.next_event
     limits = policy.limits()
     if not _has_bytes(connection):
         is_there = await _wait_for_bytes(policy, connection, limits.idle_s)
         if not is_there:
             return None
     try:
-        with trio.move_on_after(limits.header_s):
-            head = await _next_event(connection, event)
-            if isinstance(head, h11.Request):
-                return await _read_rest(connection, head, limits)
-            return None
+        head = await _read_event(connection, limits.header_s)
+        if isinstance(head, h11.Request):
+            return await _read_rest(connection, head, limits)
     except h11.RemoteProtocolError as error:
         await _refuse(connection, error.error_status_hint)
         return None
-    await _refuse(connection, HTTPStatus.REQUEST_TIMEOUT)
+    if head is _TIMED_OUT:
+        await _refuse(connection, HTTPStatus.REQUEST_TIMEOUT)
     return None
 
 
 async def _read_rest(
     connection: _Connection, head: h11.Request, limits: ClientLimits
 ) -> ClientRequest | None:
+    """Read the body, which may come slowly but must not stop."""
     arrived_s = trio.current_time()
-    if connection.parser.they_are_waiting_for_100_continue:
-        go_on = h11.InformationalResponse(status_code=100, headers=[])
-        await connection.stream.send_all(connection.parser.send(go_on))
+    if not await _invite_body(connection):
+        return None
     parts = []
     n_bytes = 0
     while True:
-        event = await _next_event(connection, connection.parser.next_event)
+        event = await _read_event(connection, limits.idle_s)
         if not isinstance(event, h11.Data):
             break
         parts.append(bytes(event.data))
@@ -244,6 +243,8 @@
         if n_bytes > limits.body_bytes:
             await _refuse(connection, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return None
+    if event is _TIMED_OUT:
+        await _refuse(connection, HTTPStatus.REQUEST_TIMEOUT)
     if not isinstance(event, h11.EndOfMessage):
         return None
     return ClientRequest(
@@ -255,6 +256,27 @@
     )
 
 
+async def _invite_body(connection: _Connection) -> bool:
+    """Tell a client that waits for it to send its body."""
+    if not connection.parser.they_are_waiting_for_100_continue:
+        return True
+    go_on = h11.InformationalResponse(
+        status_code=HTTPStatus.CONTINUE, headers=[]
+    )
+    try:
+        await connection.stream.send_all(connection.parser.send(go_on) or b'')
+    except _BROKEN:
+        return False
+    return True
+
+
+async def _read_event(connection: _Connection, timeout_s: float) -> Any:
+    """Read the next event of the protocol, or tell that none came in time."""
+    with trio.move_on_after(timeout_s):
+        return await _next_event(connection, connection.parser.next_event)
+    return _TIMED_OUT
+
+
 async def _next_event(connection: _Connection, read: Callable[[], Any]) -> Any:
     while True:
         event = read()
--- a/packages/node/src/turmericcrank_node/serving/work.py
+++ b/packages/node/src/turmericcrank_node/serving/work.py
@@ -6,6 +6,7 @@
 from turmericcrank_core.codes import CODES, ResultCode
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.exposure import judge_speed
+from turmericcrank_core.membership import iter_heard
 from turmericcrank_core.outcomes import note_outcome, rest_upstream
 from turmericcrank_core.retries import RetryBudget, spend_retry
 from turmericcrank_core.routing import ForwardRoute, Team
@@ -242,14 +243,20 @@
 
 
 def _spend_retry(state: NodeState, work: Work) -> bool:
-    """Take a retry from the budget of the service."""
+    """Take a retry from the budget of the service.
+
+    The retries that the site allows at once are shared by the nodes that
+    hear each other; a node alone still has one.
+    """
     bounds = state.settings.bounds
+    n_nodes = 1 + sum(1 for _ in iter_heard(state.members, read_boot_s()))
+    most = max(1, bounds.retry_slack / n_nodes)
     budget = state.budgets_by_service.get(work.need.service)
     if budget is None:
-        budget = RetryBudget(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_slack
-        )
+        budget = RetryBudget(bounds.retry_ratio, most, most)
         state.budgets_by_service[work.need.service] = budget
+    budget.max_tokens = most
+    budget.tokens = min(budget.tokens, most)
     return spend_retry(budget)
 
 
--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -15,6 +15,7 @@
     TableProof,
     is_behind,
     note_reading,
+    plan_cadence,
     plan_read_age_s,
     proof_age_s,
 )
@@ -110,13 +111,20 @@
         rank = plan_rank(state.members, state.settings.node_id, now_s)
         is_behind_now = _is_behind_for_long(watch, now_s)
         age_s = proof_age_s(watch.proof, now_s)
-        if is_behind_now or age_s >= plan_read_age_s(rank):
+        cadence = _plan_cadence(state)
+        if is_behind_now or age_s >= plan_read_age_s(rank) * cadence:
             is_reader = rank == 0 and not is_behind_now
-            await _read_once(state, watch, _WAIT_S if is_reader else 0)
+            wait_s = _WAIT_S * cadence if is_reader else 0
+            await _read_once(state, watch, wait_s)
         else:
             await trio.sleep(_LOOK_PAUSE_S)
 
 
+def _plan_cadence(state: NodeState) -> float:
+    bounds = state.settings.bounds
+    return plan_cadence(bounds.apply_s, bounds.drain_s, bounds.revoke_s)
+
+
 def _is_behind_for_long(watch: TableWatch, now_s: float) -> bool:
     """Tell whether a change is missing that no peer has handed over."""
     if not is_behind(watch.proof):
--- a/tests/core/test_proofs.py
+++ b/tests/core/test_proofs.py
@@ -8,6 +8,7 @@
     is_behind,
     note_peer_proof,
     note_reading,
+    plan_cadence,
     plan_read_age_s,
     proof_age_s,
 )
@@ -58,3 +59,12 @@
     assert min(ages_s[1:]) >= 1
     assert max(ages_s) < 2
     assert ages_s == sorted(ages_s)
+
+
+@given(st.floats(0.5, 5), st.floats(0.5, 5), st.floats(1, 10))
+def test_reading_keeps_up_with_tight_promises(apply_s, drain_s, revoke_s):
+    """The last node that reads for itself does so before each bound."""
+    cadence = plan_cadence(apply_s, drain_s, revoke_s)
+    oldest_s = max(plan_read_age_s(rank) for rank in range(20)) * cadence
+    assert oldest_s < min(apply_s, drain_s, revoke_s * 0.8)
+    assert plan_cadence(2, 2, 5) == 1
--- a/tests/serving/test_standing.py
+++ b/tests/serving/test_standing.py
@@ -1,10 +1,18 @@
 """When a node may take requests, and how it refuses them."""
 
+from dataclasses import replace
+
 import trio
-from turmericcrank_core.routing import CallKind, ClientLimits
+from hypothesis import given
+from hypothesis import strategies as st
+from turmericcrank_core.membership import Peer, note_peer
+from turmericcrank_core.routing import CallKind, ClientLimits, Team
+from turmericcrank_node.serving.work import Work, may_send
+from turmericcrank_node.state.node_state import read_boot_s
 from turmericcrank_node.state.router_metrics import write_metrics
+from turmericcrank_node.upstreams.candidates import Need
 
-from tests.router_builders import KEY, make_route, make_table
+from tests.router_builders import HOST, KEY, make_route, make_table
 from tests.router_fakes import (
     make_node_state,
     open_client,
@@ -126,6 +134,39 @@
     assert seen.startswith(b'HTTP/1.1 413')
 
 
+def _send_slowly(*parts, header_s=0.4):
+    """Send the parts of a request with pauses; give what the client saw."""
+
+    async def main():
+        state = _state()
+        limits = ClientLimits(header_s=header_s, idle_s=2)
+        state.table = replace(state.table, limits=limits)
+        async with trio.open_nursery() as nursery:
+            await start_upstreams(nursery, state, [[answer_bytes()]])
+            client = await open_client(nursery, state)
+            for part in parts:
+                await client.send_all(part)
+                await trio.sleep(0.3)
+            seen = await read_until(client, b'\r\n\r\n')
+            nursery.cancel_scope.cancel()
+        return seen
+
+    return trio.run(main)
+
+
+def test_a_slow_body_is_waited_for_longer_than_a_head():
+    raw = request_bytes('/bays/1', body=b'five parts')
+    head, body = raw[:-10], raw[-10:]
+    seen = _send_slowly(head, *(body[at : at + 2] for at in range(0, 10, 2)))
+    assert seen.startswith(b'HTTP/1.1 200')
+
+
+def test_a_head_that_does_not_end_is_refused_as_not_run():
+    raw = request_bytes('/bays/1')
+    seen = _send_slowly(raw[:10], raw[10:20], raw[20:30])
+    assert seen.startswith(b'HTTP/1.1 408')
+
+
 def test_requests_that_come_together_are_answered_in_order():
     two = request_bytes('/bays/1') + request_bytes('/nowhere/2')
     seen, _ = _ask(_state(), two, until=b'HTTP/1.1 404')
@@ -155,3 +196,38 @@
     text = write_metrics(state.metrics).decode()
     assert 'turmericcrank_request_seconds_count{code="200"' in text
     assert 'turmericcrank_head_seconds_count{service="engine"' in text
+
+
+@given(st.integers(1, 60), st.integers(0, 200))
+def test_nodes_together_spend_no_more_retries_than_the_site_allows(
+    n_nodes, n_wanted
+):
+    """Replays a crash that fails requests at all nodes at once."""
+    allowed = 50.0
+    spent = sum(
+        trio.run(_spend, n_nodes, n_wanted, allowed) for _ in range(n_nodes)
+    )
+    assert spent <= max(allowed, n_nodes)
+
+
+async def _spend(n_nodes, n_wanted, allowed):
+    state = _state()
+    _hear(state, n_nodes - 1)
+    bounds = replace(state.settings.bounds, retry_slack=allowed)
+    state.settings = replace(state.settings, bounds=bounds)
+    work = _work(state)
+    return sum(may_send(state, work, 1) for _ in range(n_wanted))
+
+
+def _hear(state, count):
+    for number in range(count):
+        now_s = read_boot_s()
+        peer = Peer(f'p{number}', 'a', 'dc1', '', '', True, now_s)
+        note_peer(state.members, peer)
+
+
+def _work(state):
+    route = state.table.routes_by_host[HOST][0]
+    need = Need('engine', 's', '', '')
+    call = None
+    return Work(call, route, Team('t'), need, float('inf'))
