Part many nodes into cells that tell each other over few links

Cause: each node told each other one. Ruled out: fewer messages in one mesh (bytes go with the square); a VM told by its links alone (two dead links parted the cells for good in the test). Change: cells of one data centre; inside, each tells each; between two cells one node of either tells a digest, which its mates pass on. Up to 15 nodes are one cell, as before. Sessions are told only where a canary share could move them. Only a host that does not respond ends an attempt in a pause.

--- /dev/null
+++ b/packages/core/src/turmericcrank_core/mesh.py
@@ -0,0 +1,139 @@
+"""Plans which nodes tell each other, so that news stay cheap at many nodes.
+
+Few nodes are one cell: each tells each. Many nodes are parted into cells
+of one data centre each. Inside a cell each node tells each; between two
+cells one node of either tells the other what its whole cell knows, and
+passes on to its own cell what it is told. Every node finds the same cells
+from the names that it knows; while these differ, some news go twice.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import xxhash
+
+from turmericcrank_core.cells import find_cell
+from turmericcrank_core.membership import Members, Peer, iter_heard
+
+__all__ = ('MeshPlan', 'plan_digest_pause_s', 'plan_mesh')
+
+_ONE_CELL_NODES = 15
+_CELL_NODES = 20
+_PAUSE_S = 0.8
+_CELLS_A_PAUSE = 4
+
+
+@dataclass(slots=True, frozen=True)
+class MeshPlan:
+    """Whom a node tells.
+
+    Attributes:
+        cell: Name of its cell; empty while all nodes are one.
+        mates: The other nodes of the cell.
+        partners: Nodes of other cells that it tells of its own.
+        n_cells: Cells of all data centres.
+    """
+
+    cell: str
+    mates: tuple[Peer, ...]
+    partners: tuple[Peer, ...] = ()
+    n_cells: int = 1
+
+
+@dataclass(slots=True)
+class _Cell:
+    """The nodes of one cell, by whether they are heard."""
+
+    heard: list[Peer] = field(default_factory=list)
+    silent: list[Peer] = field(default_factory=list)
+
+
+def plan_mesh(members: Members, own: Peer, now_s: float) -> MeshPlan:
+    """Plan whom a node tells now.
+
+    Args:
+        members: The other nodes.
+        own: This node.
+        now_s: Now, in seconds.
+    """
+    known = list(members.by_id.values())
+    if len(known) < _ONE_CELL_NODES:
+        return MeshPlan('', tuple(known))
+    cell_by_id = _name_cells([own, *known])
+    own_cell = cell_by_id[own.node_id]
+    heard_ids = {peer.node_id for peer in iter_heard(members, now_s)}
+    cells = _group_cells(known, cell_by_id, heard_ids)
+    home = cells.setdefault(own_cell, _Cell())
+    mates = (*home.heard, *home.silent)
+    home.heard.append(own)
+    partners = tuple(_iter_partners(cells, own_cell, own.node_id, now_s))
+    return MeshPlan(own_cell, mates, partners, len(cells))
+
+
+def plan_digest_pause_s(n_cells: int) -> float:
+    """Plan the pause between two digests for the same cell, in seconds.
+
+    Example:
+        >>> plan_digest_pause_s(4), plan_digest_pause_s(32)
+        (0.8, 6.4)
+    """
+    return _PAUSE_S * max(1, n_cells / _CELLS_A_PAUSE)
+
+
+def _name_cells(peers: Iterable[Peer]) -> dict[str, str]:
+    """Name the cell of each node: its data centre and a part of it."""
+    peers = list(peers)
+    n_by_data_centre = Counter(peer.data_centre for peer in peers)
+    n_cells_by_data_centre = {
+        data_centre: 2 ** math.ceil(math.log2(max(1, count / _CELL_NODES)))
+        for data_centre, count in n_by_data_centre.items()
+    }
+    return {
+        peer.node_id: _name_cell(peer, n_cells_by_data_centre[peer.data_centre])
+        for peer in peers
+    }
+
+
+def _name_cell(peer: Peer, n_cells: int) -> str:
+    return f'{peer.data_centre}/{n_cells}/{find_cell(peer.node_id, n_cells)}'
+
+
+def _group_cells(
+    peers: Iterable[Peer], cell_by_id: dict[str, str], heard_ids: set[str]
+) -> dict[str, _Cell]:
+    cells: dict[str, _Cell] = {}
+    for peer in peers:
+        cell = cells.setdefault(cell_by_id[peer.node_id], _Cell())
+        is_heard = peer.node_id in heard_ids
+        (cell.heard if is_heard else cell.silent).append(peer)
+    return cells
+
+
+def _iter_partners(
+    cells: dict[str, _Cell], own_cell: str, own_id: str, now_s: float
+) -> Iterable[Peer]:
+    """Yield the other end of each link of which this node is one end.
+
+    Of a cell that has fallen silent one node after the other is tried.
+    """
+    for name, cell in cells.items():
+        if name == own_cell:
+            continue
+        link = '-'.join(sorted((own_cell, name)))
+        if _choose_end(cells[own_cell].heard, link).node_id != own_id:
+            continue
+        if cell.heard:
+            yield _choose_end(cell.heard, link)
+        else:
+            yield _choose_end(cell.silent, f'{link}/{int(now_s)}')
+
+
+def _choose_end(peers: list[Peer], link: str) -> Peer:
+    return min(
+        peers,
+        key=lambda peer: xxhash.xxh3_64_intdigest(
+            f'{link}/{peer.node_id}'.encode()
+        ),
+    )
--- a/packages/core/src/turmericcrank_core/rollout_phases.py
+++ b/packages/core/src/turmericcrank_core/rollout_phases.py
@@ -18,6 +18,7 @@
     'merge_state',
     'plan_canary_share',
     'plan_full_s',
+    'plan_largest_canary_share',
     'plan_phase',
 )
 
@@ -96,6 +97,11 @@
     return share
 
 
+def plan_largest_canary_share(exposure_share: float) -> float:
+    """Plan the largest share of new sessions that a young roll-out gets."""
+    return _CANARY_PART * exposure_share * _EARLY_FACTOR
+
+
 def plan_full_s(duration_s: float, exposure_share: float) -> float:
     """Plan how long before the deadline every request moves, in seconds."""
     return _FULL_PART * exposure_share * duration_s
--- a/packages/core/src/turmericcrank_core/version_choice.py
+++ b/packages/core/src/turmericcrank_core/version_choice.py
@@ -20,7 +20,7 @@
     'VersionBook',
     'choose_versions',
     'expire_sessions',
-    'iter_recent_sessions',
+    'iter_telling_sessions',
     'make_session_key',
     'note_session',
     'note_versions',
@@ -84,14 +84,23 @@
     }
 
 
-def iter_recent_sessions(
-    book: SessionBook, since_s: float
+def iter_telling_sessions(
+    book: SessionBook, since_s: float, largest_share: float
 ) -> Iterator[tuple[str, SessionUse]]:
-    """Yield the sessions used since a moment."""
+    """Yield the recent sessions that others have to be told of.
+
+    A session whose hash lies beyond every share that a young roll-out may
+    get stays with the old version even where nobody knows it.
+
+    Args:
+        book: The sessions.
+        since_s: Moment since which they were used, in seconds.
+        largest_share: Largest share of new sessions that a new version gets.
+    """
     return (
         (key, use)
         for key, use in book.uses_by_key.items()
-        if use.used_s >= since_s
+        if use.used_s >= since_s and _hash_session(key) < largest_share
     )
 
 
@@ -141,10 +150,14 @@
     if session_version:
         is_new = session_version == new
     else:
-        is_new = hash_uniform(f'rollout/{session_key}') < canary_share
+        is_new = _hash_session(session_key) < canary_share
     return [new, *old] if is_new else old
 
 
+def _hash_session(session_key: str) -> float:
+    return hash_uniform(f'rollout/{session_key}')
+
+
 def _prefer_seen(versions: list[str], session_version: str) -> list[str]:
     """Without an order only the version that was there first is used."""
     if session_version in versions:
--- a/packages/node/src/turmericcrank_node/control/version_evidence.py
+++ b/packages/node/src/turmericcrank_node/control/version_evidence.py
@@ -23,6 +23,7 @@
     'ALL_ROUTES',
     'count_answers',
     'find_version_fault',
+    'iter_cell_evidence',
     'iter_own_evidence',
     'make_version_key',
     'note_told_evidence',
@@ -93,32 +94,44 @@
 
 def note_told_evidence(
     state: NodeState,
-    node_key: str,
+    told_by_key: dict[tuple[str, str], EvidenceCounts],
     counts_by_key: Mapping[tuple[str, str], EvidenceCounts],
+    now_s: float,
 ) -> None:
-    """Take the counts of another node; they only grow."""
-    told_by_key = state.evidence.told_by_node.setdefault(node_key, {})
+    """Take the counts of another node or cell; each of them only grows.
+
+    The sums of a cell come from several of its nodes, which have not all
+    heard the same, so each count is taken for itself.
+
+    Args:
+        state: The node.
+        told_by_key: What the same source has told before; changed in place.
+        counts_by_key: What it tells now.
+        now_s: Now, in seconds.
+    """
     for key, counts in counts_by_key.items():
         before = told_by_key.get(key, EvidenceCounts())
-        if counts.n_answers > before.n_answers:
-            told_by_key[key] = counts
-            added = UpstreamCounts(
-                counts.n_answers - before.n_answers,
-                counts.n_errors - before.n_errors,
-                counts.n_slow - before.n_slow,
-            )
-            _absorb(state, *key, added)
+        added = UpstreamCounts(
+            max(0, counts.n_answers - before.n_answers),
+            max(0, counts.n_errors - before.n_errors),
+            max(0, counts.n_slow - before.n_slow),
+        )
+        if not any((added.n_answers, added.n_errors, added.n_slow)):
+            continue
+        told_by_key[key] = EvidenceCounts(
+            before.n_answers + added.n_answers,
+            before.n_errors + added.n_errors,
+            before.n_slow + added.n_slow,
+            now_s,
+        )
+        _absorb(state, *key, added)
 
 
 def iter_own_evidence(
     state: NodeState,
 ) -> Iterator[tuple[tuple[str, str], EvidenceCounts]]:
     """Yield what this node saw of the roll-outs that still go on."""
-    running = tuple(
-        make_version_key(rollout.order.service, rollout.order.number, '')
-        for rollout in state.rollouts_by_service.values()
-        if not rollout.phase.is_final
-    )
+    running = _list_running_keys(state)
     return (
         (key, counts)
         for key, counts in state.evidence.own_by_key.items()
@@ -126,6 +139,48 @@
     )
 
 
+def iter_cell_evidence(
+    state: NodeState, since_s: float
+) -> Iterator[tuple[tuple[str, str], EvidenceCounts]]:
+    """Yield the sums of what this node and its mates saw.
+
+    Args:
+        state: The node.
+        since_s: Sums that have not changed since then are left out.
+    """
+    running = _list_running_keys(state)
+    sums_by_key: dict[tuple[str, str], EvidenceCounts] = {}
+    for told_by_key in state.evidence.told_by_node.values():
+        _add_counts(sums_by_key, told_by_key)
+    _add_counts(sums_by_key, state.evidence.own_by_key)
+    return (
+        (key, counts)
+        for key, counts in sums_by_key.items()
+        if key[0].startswith(running) and counts.changed_s >= since_s
+    )
+
+
+def _list_running_keys(state: NodeState) -> tuple[str, ...]:
+    """List how the evidence on the roll-outs that go on is named."""
+    return tuple(
+        make_version_key(rollout.order.service, rollout.order.number, '')
+        for rollout in state.rollouts_by_service.values()
+        if not rollout.phase.is_final
+    )
+
+
+def _add_counts(
+    sums_by_key: dict[tuple[str, str], EvidenceCounts],
+    added_by_key: Mapping[tuple[str, str], EvidenceCounts],
+) -> None:
+    for key, added in added_by_key.items():
+        total = sums_by_key.setdefault(key, EvidenceCounts())
+        total.n_answers += added.n_answers
+        total.n_errors += added.n_errors
+        total.n_slow += added.n_slow
+        total.changed_s = max(total.changed_s, added.changed_s)
+
+
 def count_answers(state: NodeState, service: str, number: int) -> int:
     """Count the answers that all nodes have seen of a new version."""
     key = make_version_key(service, number, ALL_ROUTES)
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/membership/news_exchange.py
@@ -0,0 +1,177 @@
+"""Decides whom a node tells what, and takes what it hears; without I/O."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.membership import Peer, expire_peers, iter_heard
+from turmericcrank_core.mesh import (
+    MeshPlan,
+    plan_digest_pause_s,
+    plan_mesh,
+)
+from turmericcrank_core.version_choice import expire_sessions
+
+from turmericcrank_node.membership.news_taking import take_news
+from turmericcrank_node.membership.news_writing import (
+    describe_across,
+    describe_own,
+    expire_news,
+)
+from turmericcrank_node.membership.node_news import NodeNews
+from turmericcrank_node.state.node_state import NodeState, describe_self
+
+__all__ = (
+    'PACE_S',
+    'NewsExchange',
+    'iter_messages',
+    'make_greeting',
+    'take_message',
+)
+
+PACE_S = 0.8
+_GREETED_S = 0.85
+_MAX_SESSION_AGE_S = 20
+
+
+@dataclass(slots=True)
+class Heard:
+    """The newest message of one peer.
+
+    Attributes:
+        sent_s: When it was sent, on the peer's clock.
+        received_s: When it was read, on this node's clock.
+        incarnation: Start of the peer that sent it.
+        is_greeting: Whether the peer had not heard this node then.
+    """
+
+    sent_s: float
+    received_s: float
+    incarnation: str
+    is_greeting: bool
+
+
+@dataclass(slots=True)
+class NewsExchange:
+    """State of the exchange of messages.
+
+    Attributes:
+        heard_by_id: Newest message of each peer.
+        silent_ids: Peers that were noted as silent.
+        digest_sent_s: When other cells were told a digest, in seconds.
+    """
+
+    heard_by_id: dict[str, Heard] = field(default_factory=dict)
+    silent_ids: set[str] = field(default_factory=set)
+    digest_sent_s: float = 0
+
+
+def iter_messages(
+    state: NodeState, exchange: NewsExchange, now_s: float
+) -> Iterator[tuple[str, NodeNews]]:
+    """Yield the messages that are due now, each with its address.
+
+    Mates are told, partners in other cells, and who has just greeted this
+    node.
+    """
+    _forget_old(state, exchange, now_s)
+    plan = plan_mesh(state.members, describe_self(state), now_s)
+    _note_plan(state, plan)
+    own = describe_own(state, plan, now_s)
+    for mate in plan.mates:
+        yield mate.peer_address, _make_news(state, exchange, mate, own, now_s)
+    if not plan.cell:
+        return
+    is_due = now_s - exchange.digest_sent_s >= plan_digest_pause_s(plan.n_cells)
+    if is_due:
+        exchange.digest_sent_s = now_s
+    across = describe_across(state, plan, now_s, is_due)
+    for peer in _list_others(state, exchange, plan, now_s):
+        news = _make_news(state, exchange, peer, across, now_s)
+        yield peer.peer_address, news
+
+
+def make_greeting(
+    state: NodeState, exchange: NewsExchange, now_s: float
+) -> NodeNews:
+    """Make the message to a node of which only the address is known."""
+    nobody = Peer('', '', '', '', '', is_ready=False, heard_s=0)
+    shared = describe_own(state, MeshPlan(state.cell, ()), now_s)
+    return _make_news(state, exchange, nobody, shared, now_s)
+
+
+def take_message(
+    state: NodeState, exchange: NewsExchange, news: NodeNews, now_s: float
+) -> None:
+    """Take one message of a peer."""
+    exchange.heard_by_id[news.node_id] = Heard(
+        news.sent_s, now_s, news.incarnation, news.echo_s < 0
+    )
+    if take_news(state, news, now_s):
+        exchange.silent_ids.discard(news.node_id)
+
+
+def _forget_old(state: NodeState, exchange: NewsExchange, now_s: float) -> None:
+    expire_sessions(state.sessions, now_s - _MAX_SESSION_AGE_S)
+    expire_news(state, now_s)
+    for gone in expire_peers(state.members, now_s):
+        exchange.heard_by_id.pop(gone.node_id, None)
+        state.told_running_by_node.pop(gone.node_id, None)
+    _note_silent(state, exchange, now_s)
+
+
+def _note_plan(state: NodeState, plan: MeshPlan) -> None:
+    is_parted = bool(plan.cell)
+    mate_ids = frozenset(peer.node_id for peer in plan.mates)
+    state.members.mate_ids = mate_ids if is_parted else None
+    state.members.told_pause_s = plan_digest_pause_s(plan.n_cells) * is_parted
+    state.cell = plan.cell
+
+
+def _list_others(
+    state: NodeState, exchange: NewsExchange, plan: MeshPlan, now_s: float
+) -> list[Peer]:
+    """List the partners, and others that have just greeted this node."""
+    mate_ids = {peer.node_id for peer in plan.mates}
+    other_by_id = {peer.node_id: peer for peer in plan.partners}
+    for node_id, heard in exchange.heard_by_id.items():
+        is_recent = now_s - heard.received_s <= _GREETED_S
+        if is_recent and heard.is_greeting and node_id not in mate_ids:
+            other_by_id[node_id] = state.members.by_id[node_id]
+    return list(other_by_id.values())
+
+
+def _make_news(
+    state: NodeState,
+    exchange: NewsExchange,
+    peer: Peer,
+    shared: dict[str, Any],
+    now_s: float,
+) -> NodeNews:
+    heard = exchange.heard_by_id.get(peer.node_id)
+    own = describe_self(state)
+    return NodeNews(
+        node_id=own.node_id,
+        incarnation=own.incarnation,
+        data_centre=own.data_centre,
+        peer_address=own.peer_address,
+        client_address=own.client_address,
+        is_ready=own.is_ready,
+        sent_s=now_s,
+        echo_s=heard.sent_s if heard else -1,
+        echo_incarnation=heard.incarnation if heard else '',
+        echo_held_s=now_s - heard.received_s if heard else 0,
+        **shared,
+    )
+
+
+def _note_silent(
+    state: NodeState, exchange: NewsExchange, now_s: float
+) -> None:
+    heard_ids = {peer.node_id for peer in iter_heard(state.members, now_s)}
+    for node_id in list(state.members.by_id):
+        if node_id not in heard_ids and node_id not in exchange.silent_ids:
+            exchange.silent_ids.add(node_id)
+            state.told_running_by_node.pop(node_id, None)
+            state.log.write(EventCode.member_silent, member=node_id)
--- a/packages/node/src/turmericcrank_node/membership/news_taking.py
+++ b/packages/node/src/turmericcrank_node/membership/news_taking.py
@@ -4,7 +4,11 @@
 from typing import Any
 
 from turmericcrank_core.event_codes import EventCode
-from turmericcrank_core.membership import Peer, note_peer
+from turmericcrank_core.membership import (
+    Peer,
+    note_peer,
+    note_told_peer,
+)
 from turmericcrank_core.outcomes import note_told_tally
 from turmericcrank_core.proofs import (
     PeerProof,
@@ -21,10 +25,10 @@
 from turmericcrank_core.version_choice import note_session
 
 from turmericcrank_node.control.version_evidence import note_told_evidence
-from turmericcrank_node.membership.node_news import NodeNews
+from turmericcrank_node.membership.node_news import CellDigest, NodeNews
 from turmericcrank_node.platform_port import ChangedRow, FeedPage
 from turmericcrank_node.state.evidence_book import EvidenceCounts
-from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.state.node_state import HeldDigest, NodeState
 from turmericcrank_node.state.table_watch import (
     apply_configuration,
     apply_upstreams,
@@ -54,20 +58,31 @@
     state.told_running_by_node[news.node_id] = news.running_by_id
     for key, version, age_ms in news.sessions:
         note_session(state.sessions, key, version, now_s - age_ms / _MS)
+    _take_counts(state, news, now_s)
+    has_news = [note_crash_told(state, *crash) for crash in news.crashes]
+    has_news += [_take_rollout(state, row, now_s) for row in news.rollouts]
+    if news.cell != state.cell and any(has_news):
+        state.want_news()
+    for row in news.members:
+        _take_member(state, row, now_s)
+    for digest in news.digests:
+        _take_digest(state, news, digest, now_s)
+    return is_new
+
+
+def _take_counts(state: NodeState, news: NodeNews, now_s: float) -> None:
+    """Take what the peer has counted since its start."""
     node_key = f'{news.node_id}/{news.incarnation}'
     note_told_tally(state.outcomes, node_key, news.tallies, now_s)
-    note_told_evidence(state, node_key, dict(_iter_evidence(news)))
-    for crash in news.crashes:
-        note_crash_told(state, *crash)
-    for row in news.rollouts:
-        _take_rollout(state, row, now_s)
-    return is_new
+    told_by_key = state.evidence.told_by_node.setdefault(node_key, {})
+    counts_by_key = dict(_iter_evidence(news.evidence))
+    note_told_evidence(state, told_by_key, counts_by_key, now_s)
 
 
 def _iter_evidence(
-    news: NodeNews,
+    rows: list[Any],
 ) -> Iterator[tuple[tuple[str, str], EvidenceCounts]]:
-    for version_key, upstream_id, *counts in news.evidence:
+    for version_key, upstream_id, *counts in rows:
         yield (version_key, upstream_id), EvidenceCounts(*counts)
 
 
@@ -92,6 +107,45 @@
     return is_new
 
 
+def _take_member(state: NodeState, row: list[Any], now_s: float) -> None:
+    *names, is_ready, age_ms = row
+    node_id, data_centre, peer_address, client_address = names
+    if node_id == state.settings.node_id:
+        return
+    heard_s = now_s - age_ms / _MS
+    peer = Peer(
+        node_id,
+        '',
+        data_centre,
+        peer_address,
+        client_address,
+        is_ready,
+        heard_s,
+    )
+    note_told_peer(state.members, peer)
+
+
+def _take_digest(
+    state: NodeState, news: NodeNews, digest: CellDigest, now_s: float
+) -> None:
+    """Take what another cell knows, unless something newer is known."""
+    made_s = now_s - digest.age_s
+    held = state.digests_by_cell.get(digest.cell)
+    is_older = held is not None and held.made_s >= made_s
+    if digest.cell == state.cell or is_older:
+        return
+    is_from_there = news.cell == digest.cell
+    state.digests_by_cell[digest.cell] = HeldDigest(
+        digest, made_s, is_from_there
+    )
+    state.told_running_by_node[digest.cell] = digest.running_by_id
+    for row in digest.members:
+        _take_member(state, row, made_s)
+    told_by_key = state.evidence.told_by_cell.setdefault(digest.cell, {})
+    counts_by_key = dict(_iter_evidence(digest.evidence))
+    note_told_evidence(state, told_by_key, counts_by_key, now_s)
+
+
 def _take_page(state: NodeState, told: list[Any]) -> None:
     """Apply changes that the peer has read, if they go on from this copy."""
     number, after, version, rows = told
@@ -121,17 +175,20 @@
         note_peer_proof(proof, PeerProof(change, proven_s))
 
 
-def _take_rollout(state: NodeState, row: list[Any], now_s: float) -> None:
+def _take_rollout(state: NodeState, row: list[Any], now_s: float) -> bool:
+    """Take a phase; tell whether it is new here."""
     *order_fields, phase, age_s = row
     order = RolloutOrder(*order_fields)
     told = RolloutState(order, RolloutPhase(phase), now_s - age_s)
     own = state.rollouts_by_service.get(order.service)
     merged = merge_state(own, told)
     state.rollouts_by_service[order.service] = merged
-    if own is None or merged.phase != own.phase:
+    is_new = own is None or merged.phase != own.phase
+    if is_new:
         state.log.write(
             EventCode.rollout_heard,
             service=order.service,
             version=order.version,
             phase=merged.phase.name,
         )
+    return is_new
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/membership/news_writing.py
@@ -0,0 +1,195 @@
+"""Describes what a node knows, for its mates and for other cells."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import replace
+from typing import Any
+
+from turmericcrank_core.membership import Peer, iter_heard, iter_newcomers
+from turmericcrank_core.mesh import MeshPlan
+from turmericcrank_core.proofs import TableProof, proof_age_s
+from turmericcrank_core.rollout_phases import (
+    RolloutState,
+    plan_largest_canary_share,
+)
+from turmericcrank_core.version_choice import iter_telling_sessions
+
+from turmericcrank_node.control.version_evidence import (
+    iter_cell_evidence,
+    iter_own_evidence,
+)
+from turmericcrank_node.membership.node_news import CellDigest
+from turmericcrank_node.state.evidence_book import EvidenceCounts
+from turmericcrank_node.state.node_state import (
+    NodeState,
+    ReadPage,
+    describe_self,
+)
+
+__all__ = ('describe_across', 'describe_own', 'expire_news')
+
+_REPEAT_S = 1.8
+_DIGEST_KEPT_S = 3
+_MS = 1000
+
+
+def describe_own(
+    state: NodeState, plan: MeshPlan, now_s: float
+) -> dict[str, Any]:
+    """Give what each mate is told alike."""
+    return {
+        **_describe_common(state, plan, now_s),
+        'running_by_id': {
+            name: count for name, count in state.running_by_id.items() if count
+        },
+        'tallies': [
+            [upstream_id, tally.n_answers, tally.n_bad]
+            for upstream_id, tally in state.outcomes.own_by_id.items()
+            if tally.changed_s >= now_s - _REPEAT_S
+        ],
+        'evidence': [
+            _describe_counts(key, counts)
+            for key, counts in iter_own_evidence(state)
+            if counts.changed_s >= now_s - _REPEAT_S
+        ],
+        'digests': list(_iter_passed_on(state, now_s)),
+    }
+
+
+def describe_across(
+    state: NodeState, plan: MeshPlan, now_s: float, is_digest_due: bool
+) -> dict[str, Any]:
+    """Give what nodes of other cells are told alike."""
+    digests = [_describe_cell(state, plan, now_s)] if is_digest_due else []
+    return {**_describe_common(state, plan, now_s), 'digests': digests}
+
+
+def expire_news(state: NodeState, now_s: float) -> None:
+    """Forget the crashes that all have heard of, and silent cells."""
+    oldest_s = now_s + state.store_offset_s - _REPEAT_S
+    state.recent_crashes = [
+        crash for crash in state.recent_crashes if crash.at_s >= oldest_s
+    ]
+    kept_s = _DIGEST_KEPT_S + state.members.told_pause_s
+    for cell, held in list(state.digests_by_cell.items()):
+        if now_s - held.made_s > kept_s:
+            state.digests_by_cell.pop(cell)
+            state.told_running_by_node.pop(cell, None)
+
+
+def _describe_common(
+    state: NodeState, plan: MeshPlan, now_s: float
+) -> dict[str, Any]:
+    since_s = now_s - _REPEAT_S
+    return {
+        'cell': plan.cell,
+        'proofs': [
+            _describe_proof(proof, now_s)
+            for proof in (state.configuration_proof, state.upstream_proof)
+        ],
+        'sessions': list(_iter_sessions(state, now_s)),
+        'members': [
+            _describe_member(peer, now_s)
+            for peer in _iter_introduced(state, now_s)
+        ],
+        'crashes': [
+            [crash.upstream_id, crash.at_s, list(crash.fingerprints)]
+            for crash in state.recent_crashes
+        ],
+        'pages': [
+            _describe_page(page)
+            for page in state.read_pages
+            if page.read_s >= since_s
+        ],
+        'rollouts': [
+            _describe_rollout(rollout, now_s)
+            for rollout in state.rollouts_by_service.values()
+        ],
+    }
+
+
+def _iter_sessions(state: NodeState, now_s: float) -> Iterator[list[Any]]:
+    share = plan_largest_canary_share(state.settings.bounds.exposure_share)
+    recent = iter_telling_sessions(state.sessions, now_s - _REPEAT_S, share)
+    for key, use in recent:
+        yield [key, use.version, int((now_s - use.used_s) * _MS)]
+
+
+def _describe_cell(
+    state: NodeState, plan: MeshPlan, now_s: float
+) -> CellDigest:
+    mate_ids = {peer.node_id for peer in plan.mates}
+    members = [
+        _describe_member(peer, now_s)
+        for peer in iter_heard(state.members, now_s)
+        if peer.node_id in mate_ids
+    ]
+    own = replace(describe_self(state), heard_s=now_s)
+    members.append(_describe_member(own, now_s))
+    evidence = [
+        _describe_counts(key, counts)
+        for key, counts in iter_cell_evidence(state, now_s - _REPEAT_S * 2)
+    ]
+    running_by_id = _sum_running(state, mate_ids)
+    return CellDigest(plan.cell, 0, members, running_by_id, evidence)
+
+
+def _sum_running(state: NodeState, mate_ids: set[str]) -> dict[str, int]:
+    running_by_id = Counter(state.running_by_id)
+    for node_id in mate_ids:
+        running_by_id.update(state.told_running_by_node.get(node_id, {}))
+    return {name: count for name, count in running_by_id.items() if count}
+
+
+def _iter_passed_on(state: NodeState, now_s: float) -> Iterator[CellDigest]:
+    """Yield what nodes of other cells have told this node just now."""
+    for held in state.digests_by_cell.values():
+        age_s = now_s - held.made_s
+        if held.is_from_there and age_s <= _REPEAT_S:
+            yield replace(held.digest, age_s=age_s)
+
+
+def _describe_member(peer: Peer, now_s: float) -> list[Any]:
+    return [
+        peer.node_id,
+        peer.data_centre,
+        peer.peer_address,
+        peer.client_address,
+        peer.is_ready,
+        int((now_s - peer.heard_s) * _MS),
+    ]
+
+
+def _describe_counts(key: tuple[str, str], counts: EvidenceCounts) -> list[Any]:
+    return [*key, counts.n_answers, counts.n_errors, counts.n_slow]
+
+
+def _describe_proof(proof: TableProof, now_s: float) -> list[float]:
+    if proof.proven_s is None:
+        return [proof.change, -1]
+    return [proof.change, proof_age_s(proof, now_s)]
+
+
+def _iter_introduced(state: NodeState, now_s: float) -> Iterator[Peer]:
+    """Yield newcomers and one peer at random, in case a message was lost."""
+    yield from iter_newcomers(state.members, now_s)
+    heard = list(iter_heard(state.members, now_s))
+    if heard:
+        yield state.random_source.choice(heard)
+
+
+def _describe_page(page: ReadPage) -> list[Any]:
+    rows = [[row.key, row.version, row.body] for row in page.page.rows]
+    return [page.table_number, page.after, page.page.version, rows]
+
+
+def _describe_rollout(rollout: RolloutState, now_s: float) -> list[Any]:
+    order = rollout.order
+    return [
+        order.service,
+        order.version,
+        order.duration_s,
+        order.number,
+        int(rollout.phase),
+        now_s - rollout.began_s,
+    ]
--- a/packages/node/src/turmericcrank_node/membership/node_news.py
+++ b/packages/node/src/turmericcrank_node/membership/node_news.py
@@ -10,9 +10,28 @@
 
 import msgpack
 
-__all__ = ('NodeNews', 'pack_news', 'unpack_news')
+__all__ = ('CellDigest', 'NodeNews', 'pack_news', 'unpack_news')
 
-_FORMAT = 1
+_FORMAT = 2
+
+
+@dataclass(slots=True, frozen=True)
+class CellDigest:
+    """What one cell tells another, made by one node of it.
+
+    Attributes:
+        cell: Name of the cell.
+        age_s: Time since it was made, in seconds.
+        members: Nodes of the cell, as in a message.
+        running_by_id: Requests in progress from the cell, by upstream.
+        evidence: Version key, upstream and counts, summed over the cell.
+    """
+
+    cell: str
+    age_s: float
+    members: list[Any]
+    running_by_id: dict[str, int]
+    evidence: list[Any]
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,13 +59,16 @@
             since the start.
         rollouts: Service, version, seconds, number of the order, phase and
             age of the order in seconds.
-        newcomers: Names and peer addresses of nodes that the sender has
-            heard of late.
+        members: Nodes that the receiver may not know: name, data centre,
+            peer address, client address, readiness, and age in milliseconds
+            of the last sign of life.
         crashes: Upstreams that have crashed of late: name, time on the
             store's clock in seconds, fingerprints of the requests there.
         pages: Changes that the sender has read from the store lately:
             number of the table, versions before and after, rows of key,
             version and body.
+        cell: Cell of the sender; empty while all nodes are one.
+        digests: What whole cells know.
     """
 
     node_id: str
@@ -65,17 +87,24 @@
     tallies: list[Any] = field(default_factory=list)
     evidence: list[Any] = field(default_factory=list)
     rollouts: list[Any] = field(default_factory=list)
-    newcomers: list[Any] = field(default_factory=list)
+    members: list[Any] = field(default_factory=list)
     crashes: list[Any] = field(default_factory=list)
     pages: list[Any] = field(default_factory=list)
+    cell: str = ''
+    digests: list[CellDigest] = field(default_factory=list)
 
 
 _NAMES = tuple(part.name for part in fields(NodeNews))
+_DIGEST_NAMES = tuple(part.name for part in fields(CellDigest))
 
 
 def pack_news(news: NodeNews) -> bytes:
     """Pack one message."""
     parts = [getattr(news, name) for name in _NAMES]
+    parts[-1] = [
+        [getattr(digest, name) for name in _DIGEST_NAMES]
+        for digest in news.digests
+    ]
     return bytes(msgpack.packb([_FORMAT, *parts]))
 
 
@@ -88,4 +117,7 @@
     if not isinstance(unpacked, list) or len(unpacked) != len(_NAMES) + 1:
         return None
     number, *parts = unpacked
-    return NodeNews(*parts) if number == _FORMAT else None
+    if number != _FORMAT:
+        return None
+    parts[-1] = [CellDigest(*digest) for digest in parts[-1]]
+    return NodeNews(*parts)
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -35,7 +35,7 @@
     Answering,
     AttemptFault,
     FaultKind,
-    takes_connections,
+    is_host_silent,
 )
 from turmericcrank_node.upstreams.candidates import service_load
 
@@ -107,7 +107,7 @@
     """Read the next part of a stream, however long it takes.
 
     Silence ends the attempt only when another one may follow: at once if
-    the host takes no connections, else after a long pause.
+    the host does not respond, else after a long pause.
     """
     silent_s: float = 0
     while True:
@@ -115,8 +115,8 @@
             return await read_body_part(relay.answering.connection)
         silent_s += _LOOK_S
         if may_follow(relay.work):
-            is_alive = await takes_connections(relay.upstream)
-            if not is_alive or silent_s >= _MAX_SILENT_S:
+            is_dead = await is_host_silent(relay.upstream)
+            if is_dead or silent_s >= _MAX_SILENT_S:
                 return _STALLED
 
 
--- a/packages/node/src/turmericcrank_node/state/evidence_book.py
+++ b/packages/node/src/turmericcrank_node/state/evidence_book.py
@@ -31,6 +31,7 @@
     Attributes:
         own_by_key: What this node saw, by version key and upstream.
         told_by_node: What the others told, by node and the same keys.
+        told_by_cell: What other cells told of all their nodes, likewise.
         pool: Sums of all of it.
         usual_by_key: Answers of the replaced versions, by version key.
     """
@@ -41,5 +42,8 @@
     told_by_node: dict[str, dict[tuple[str, str], EvidenceCounts]] = field(
         default_factory=dict
     )
+    told_by_cell: dict[str, dict[tuple[str, str], EvidenceCounts]] = field(
+        default_factory=dict
+    )
     pool: EvidencePool = field(default_factory=EvidencePool)
     usual_by_key: dict[str, UpstreamCounts] = field(default_factory=dict)
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -18,6 +18,7 @@
 from turmericcrank_core.version_choice import SessionBook, VersionBook
 
 from turmericcrank_node.event_log import EventLog
+from turmericcrank_node.membership.node_news import CellDigest
 from turmericcrank_node.platform_port import (
     FeedPage,
     Platform,
@@ -26,7 +27,13 @@
 from turmericcrank_node.state.evidence_book import EvidenceBook
 from turmericcrank_node.state.router_metrics import RouterMetrics
 
-__all__ = ('NodeState', 'ReadPage', 'describe_self', 'read_boot_s')
+__all__ = (
+    'HeldDigest',
+    'NodeState',
+    'ReadPage',
+    'describe_self',
+    'read_boot_s',
+)
 
 _REVOKE_PART = 0.8
 
@@ -48,6 +55,21 @@
     read_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class HeldDigest:
+    """What another cell has told.
+
+    Attributes:
+        digest: The newest.
+        made_s: When it was made, on this node's clock, in seconds.
+        is_from_there: Whether a node of that cell told it itself.
+    """
+
+    digest: CellDigest
+    made_s: float
+    is_from_there: bool
+
+
 @dataclass(slots=True)
 class NodeState:
     """State of one node."""
@@ -68,9 +90,11 @@
     read_pages: list[ReadPage] = field(default_factory=list)
     # Changed by peer_news.
     members: Members = field(default_factory=Members)
+    cell: str = ''
     told_running_by_node: dict[str, dict[str, int]] = field(
         default_factory=dict
     )
+    digests_by_cell: dict[str, HeldDigest] = field(default_factory=dict)
     news_wanted: trio.Event = field(default_factory=trio.Event)
     # Changed by upstreams.
     running_by_id: dict[str, int] = field(default_factory=dict)
@@ -82,7 +106,7 @@
         default_factory=dict
     )
     suspects: SuspectBook = field(default_factory=SuspectBook)
-    own_crashes: list[CrashRecord] = field(default_factory=list)
+    recent_crashes: list[CrashRecord] = field(default_factory=list)
     budgets_by_service: dict[str, RetryBudget] = field(default_factory=dict)
     # Changed by rollout_control.
     rollouts_by_service: dict[str, RolloutState] = field(default_factory=dict)
--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -24,6 +24,7 @@
     'Answering',
     'AttemptFault',
     'FaultKind',
+    'is_host_silent',
     'open_attempt',
     'takes_connections',
 )
@@ -146,22 +147,35 @@
 async def _watch_host(
     upstream: ListedUpstream, scope: trio.CancelScope
 ) -> None:
-    """End the wait for an upstream that takes no connections any more."""
+    """End the wait for an upstream whose host does not respond any more."""
     while True:
         await trio.sleep(_LOOK_S)
-        if not await takes_connections(upstream):
+        if await is_host_silent(upstream):
             scope.cancel()
             return
 
 
 async def takes_connections(upstream: ListedUpstream) -> bool:
-    """Tell whether the host of an upstream takes connections."""
+    """Tell whether an upstream takes connections."""
+    return await _probe(upstream) is None
+
+
+async def is_host_silent(upstream: ListedUpstream) -> bool:
+    """Tell whether the host of an upstream does not respond at all.
+
+    One that refuses may be full or about to leave, and still answer the
+    requests that it has.
+    """
+    return await _probe(upstream) is ConnectFault.timed_out
+
+
+async def _probe(upstream: ListedUpstream) -> ConnectFault | None:
     host, port = split_address(upstream.address)
     probe = await connect_upstream(host, port, _CONNECT_S)
     if isinstance(probe, ConnectFault):
-        return False
+        return probe
     probe.abort()
-    return True
+    return None
 
 
 def _check_head(
--- a/packages/node/src/turmericcrank_node/upstreams/crash_watch.py
+++ b/packages/node/src/turmericcrank_node/upstreams/crash_watch.py
@@ -93,7 +93,7 @@
         return
     record = CrashRecord(upstream.upstream_id, read_site_s(state), working)
     add_crash(state.suspects, record)
-    state.own_crashes.append(record)
+    state.recent_crashes.append(record)
     state.log.write(
         EventCode.upstream_failed,
         upstream=upstream.upstream_id,
@@ -105,7 +105,15 @@
 
 def note_crash_told(
     state: NodeState, upstream_id: str, at_s: float, working: Iterable[str]
-) -> None:
-    """Take a crash that another node has seen."""
+) -> bool:
+    """Take a crash that another node has seen; tell whether it is new.
+
+    It is passed on, unless all nodes are one cell and know it already.
+    """
     record = CrashRecord(upstream_id, at_s, frozenset(working))
+    if record in state.recent_crashes:
+        return False
     add_crash(state.suspects, record)
+    if state.cell:
+        state.recent_crashes.append(record)
+    return True
--- /dev/null
+++ b/tests/membership/test_mesh.py
@@ -0,0 +1,168 @@
+"""How news reach all nodes, and what they cost, with few and many nodes."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from turmericcrank_core.mesh import plan_digest_pause_s
+from turmericcrank_core.rollout_phases import RolloutPhase
+from turmericcrank_core.suspects import CrashRecord
+from turmericcrank_node.control.version_evidence import (
+    count_answers,
+    make_version_key,
+    note_version_answer,
+)
+from turmericcrank_node.upstreams.candidates import count_running
+
+from tests.mesh_play import make_node, play_start
+from tests.router_builders import make_order, make_rollout, make_upstream
+
+_MANY = {'north': 17, 'south': 16, 'east': 15, 'west': 17}
+_FEW = {'north': 3, 'south': 2, 'east': 2}
+_BUDGET_BYTES_PER_S = 9000
+
+
+def _knows_all(play):
+    names = {node.node_id for node in play.nodes}
+    return all(
+        play.heard_ids(node) == names - {node.node_id} for node in play.nodes
+    )
+
+
+@pytest.mark.parametrize('n_by_data_centre', [_FEW, _MANY])
+def test_nodes_that_share_a_seed_all_know_each_other(n_by_data_centre):
+    play = play_start(n_by_data_centre)
+    assert _knows_all(play)
+    play.play(10)
+    assert _knows_all(play)
+
+
+@settings(max_examples=10, deadline=None)
+@given(st.lists(st.integers(1, 9), min_size=1, max_size=4), st.integers(0, 99))
+def test_they_do_so_at_any_size_though_messages_are_lost(sizes, seed):
+    play = play_start(
+        {f'dc{number}': size for number, size in enumerate(sizes)}
+    )
+    play.loss = 0.02
+    play.luck.seed(seed)
+    play.play(8)
+    names = {node.node_id for node in play.nodes}
+    for node in play.nodes:
+        assert len(play.heard_ids(node) & names) >= len(names) - 2
+
+
+def test_news_stay_within_the_budget_and_few_go_between_data_centres():
+    play = play_start(_MANY, for_s=6)
+    play.sent.clear()
+    play.play(8)
+    n_bytes = sum(size for _, _, size in play.sent)
+    across = sum(
+        size
+        for sender, receiver, size in play.sent
+        if sender.data_centre != receiver.data_centre
+    )
+    assert n_bytes / len(play.nodes) / 8 < _BUDGET_BYTES_PER_S
+    assert across < n_bytes / 10
+
+
+def test_a_node_that_is_gone_fades_everywhere_within_four_seconds():
+    play = play_start(_MANY)
+    gone = play.kill(play.nodes[20])
+    play.play(4)
+    assert all(gone.node_id not in play.heard_ids(node) for node in play.nodes)
+
+
+def test_a_node_that_is_added_is_known_everywhere_within_three_seconds():
+    play = play_start(_MANY)
+    added = make_node(99, 'east', play.now_s)
+    play.by_address[added.state.settings.addresses.peer] = added
+    play.greet(added)
+    play.play(3)
+    assert _knows_all(play)
+
+
+def test_the_loss_of_the_nodes_between_cells_is_made_good():
+    play = play_start(_MANY)
+    between = {
+        sender.node_id: sender
+        for sender, receiver, _ in play.sent[-2000:]
+        if sender.data_centre != receiver.data_centre
+    }
+    for node in between.values():
+        play.kill(node)
+    play.play(7)
+    assert _knows_all(play)
+
+
+def test_load_of_other_cells_is_told_and_forgotten():
+    play = play_start(_MANY)
+    teller, other = play.nodes[3], play.nodes[-1]
+    teller.state.running_by_id['u1'] = 5
+    play.play(2.5)
+    assert count_running(other.state, 'u1') == 5
+    teller.state.running_by_id['u1'] = 0
+    play.play(2.5)
+    assert count_running(other.state, 'u1') == 0
+
+
+def _begin_rollout(play):
+    for node in play.nodes:
+        node.state.rollouts_by_service['engine'] = make_rollout(
+            RolloutPhase.canary, play.now_s
+        )
+
+
+def _note_answers(node, number):
+    upstream = make_upstream('u9', version='v2')
+    for _ in range(number):
+        note_version_answer(
+            node.state, make_order(), upstream, 'quotes', False, None
+        )
+    own_by_key = node.state.evidence.own_by_key
+    key = make_version_key('engine', make_order().number, '*')
+    own_by_key[key, 'u9'].changed_s = node.next_s
+
+
+@pytest.mark.parametrize('n_by_data_centre', [_FEW, _MANY])
+def test_evidence_of_all_nodes_is_counted_once_at_each(n_by_data_centre):
+    play = play_start(n_by_data_centre)
+    _begin_rollout(play)
+    for node in play.nodes:
+        _note_answers(node, 2)
+    play.play(3)
+    expected = 2 * len(play.nodes)
+    for node in play.nodes:
+        assert count_answers(node.state, 'engine', 5) == expected
+
+
+def test_a_phase_reaches_every_cell_within_two_rounds():
+    play = play_start(_MANY)
+    _begin_rollout(play)
+    first = play.nodes[0].state
+    first.rollouts_by_service['engine'] = make_rollout(
+        RolloutPhase.rolled_back, play.now_s
+    )
+    first.want_news()
+    play.play(1.7)
+    phases = {
+        node.state.rollouts_by_service['engine'].phase for node in play.nodes
+    }
+    assert phases == {RolloutPhase.rolled_back}
+
+
+def test_a_crash_is_known_in_every_cell_and_then_no_longer_told():
+    play = play_start(_MANY)
+    record = CrashRecord('u1', play.now_s, frozenset({'bad'}))
+    first = play.nodes[0].state
+    first.recent_crashes.append(record)
+    first.want_news()
+    play.play(1.7)
+    books = [node.state.suspects for node in play.nodes[1:]]
+    assert all(book.crashes for book in books)
+    play.play(3)
+    told = [node.state.recent_crashes for node in play.nodes]
+    assert not any(told)
+
+
+def test_digests_are_rarer_the_more_cells_there_are():
+    pauses = [plan_digest_pause_s(number) for number in (1, 4, 8, 32)]
+    assert pauses == [0.8, 0.8, 1.6, 6.4]
--- /dev/null
+++ b/tests/mesh_play.py
@@ -0,0 +1,126 @@
+"""Plays the exchange of news between many nodes, on a clock of its own."""
+
+import random
+from dataclasses import dataclass, field, replace
+
+from turmericcrank_core.membership import iter_heard
+from turmericcrank_node.membership.news_exchange import (
+    PACE_S,
+    NewsExchange,
+    iter_messages,
+    make_greeting,
+    take_message,
+)
+from turmericcrank_node.membership.node_news import pack_news, unpack_news
+from turmericcrank_node.state.node_state import NodeState, read_boot_s
+
+from tests.router_builders import make_route, make_table
+from tests.router_fakes import make_node_state
+
+_STEP_S = 0.05
+
+
+@dataclass
+class PlayedNode:
+    """One node; it is told at ``next_s`` to send its news."""
+
+    state: NodeState
+    next_s: float
+    exchange: NewsExchange = field(default_factory=NewsExchange)
+
+    @property
+    def node_id(self):
+        return self.state.settings.node_id
+
+    @property
+    def data_centre(self):
+        return self.state.settings.data_centre
+
+
+@dataclass
+class MeshPlay:
+    """All nodes, and what went between them.
+
+    ``sent`` holds sender, receiver and bytes of each message.
+    """
+
+    by_address: dict[str, PlayedNode]
+    seeds: list[str]
+    now_s: float
+    loss: float = 0
+    sent: list = field(default_factory=list)
+    luck: random.Random = field(default_factory=lambda: random.Random(1))
+
+    @property
+    def nodes(self):
+        return list(self.by_address.values())
+
+    def heard_ids(self, node):
+        heard = iter_heard(node.state.members, self.now_s)
+        return {peer.node_id for peer in heard}
+
+    def kill(self, node):
+        return self.by_address.pop(node.state.settings.addresses.peer)
+
+    def greet(self, node):
+        """Let a new node tell its seeds."""
+        for seed in self.seeds:
+            news = make_greeting(node.state, node.exchange, self.now_s)
+            self._deliver(node, seed, news)
+
+    def play(self, for_s):
+        ends_s = self.now_s + for_s
+        while self.now_s < ends_s:
+            self.now_s += _STEP_S
+            for node in self.nodes:
+                if node.next_s <= self.now_s or node.state.news_wanted.is_set():
+                    self._tell(node)
+
+    def _tell(self, node):
+        node.state.news_wanted = type(node.state.news_wanted)()
+        node.next_s = self.now_s + PACE_S
+        messages = list(iter_messages(node.state, node.exchange, self.now_s))
+        for address, news in messages:
+            self._deliver(node, address, news)
+
+    def _deliver(self, sender, address, news):
+        raw = pack_news(news)
+        receiver = self.by_address.get(address)
+        if receiver is sender:
+            return
+        self.sent.append((sender, receiver, len(raw)))
+        if receiver is None or self.luck.random() < self.loss:
+            return
+        news = unpack_news(raw)
+        take_message(receiver.state, receiver.exchange, news, self.now_s)
+
+
+def make_node(number, data_centre, now_s):
+    state = make_node_state(
+        make_table(make_route()), node_id=f'{data_centre}-{number}'
+    )
+    addresses = replace(
+        state.settings.addresses,
+        peer=f'{data_centre}-{number}:1',
+        client=f'{data_centre}-{number}:2',
+    )
+    state.settings = replace(
+        state.settings, data_centre=data_centre, addresses=addresses
+    )
+    return PlayedNode(state, now_s + PACE_S * random.Random(number).random())
+
+
+def play_start(n_by_data_centre, loss=0.0, for_s=4.0):
+    """Start all nodes at once; they know the first one as their seed."""
+    now_s = read_boot_s()
+    nodes = [
+        make_node(number, data_centre, now_s)
+        for data_centre, count in n_by_data_centre.items()
+        for number in range(count)
+    ]
+    by_address = {node.state.settings.addresses.peer: node for node in nodes}
+    play = MeshPlay(by_address, [next(iter(by_address))], now_s, loss)
+    for node in nodes:
+        play.greet(node)
+    play.play(for_s)
+    return play
--- a/tests/serving/test_stream_calls.py
+++ b/tests/serving/test_stream_calls.py
@@ -84,6 +84,22 @@
     assert seen.endswith(b'0\r\n\r\n')
 
 
+def test_an_engine_that_refuses_others_may_end_the_streams_it_has():
+    """Replays the end of a roll-out: old engines leave, in long pauses."""
+    head = stream_head()
+    script = [head, event_chunk(1), 'leave', 1.9, event_chunk(2), END_CHUNK]
+    seen, requests, _ = _ask([script])
+    assert len(requests) == 1
+    assert seen.endswith(b'0\r\n\r\n')
+
+
+def test_an_engine_that_refuses_others_may_keep_a_request_in_its_queue():
+    script = ['leave', 1.9, *_whole(1)]
+    seen, requests, _ = _ask([script], objective_s=1.0)
+    assert len(requests) == 1
+    assert seen.endswith(b'0\r\n\r\n')
+
+
 def test_a_live_engine_may_keep_a_request_in_its_queue():
     seen, requests, _ = _ask([[1.9, *_whole(1)]], objective_s=1.0)
     assert len(requests) == 1
