Let one cell read the store for all, and take work off each node

Change: the first cell's reader reads for all; changes and proofs go over the links, whose ends speak every 0.4 s; a node that has just started reads for itself once and then waits for its rank; looks at the table are 0.15 s apart or when due; told loads are summed as they come; a digest is passed on once. Also mended: the bench of messages lacked a field and could not run; a test runs it now.

--- a/packages/core/src/turmericcrank_core/mesh.py
+++ b/packages/core/src/turmericcrank_core/mesh.py
@@ -34,12 +34,14 @@
         mates: The other nodes of the cell.
         partners: Nodes of other cells that it tells of its own.
         n_cells: Cells of all data centres.
+        is_first: Whether no cell that is heard comes before this one.
     """
 
     cell: str
     mates: tuple[Peer, ...]
     partners: tuple[Peer, ...] = ()
     n_cells: int = 1
+    is_first: bool = True
 
 
 @dataclass(slots=True)
@@ -68,8 +70,13 @@
     home = cells.setdefault(own_cell, _Cell())
     mates = (*home.heard, *home.silent)
     home.heard.append(own)
-    partners = tuple(_iter_partners(cells, own_cell, own.node_id, now_s))
-    return MeshPlan(own_cell, mates, partners, len(cells))
+    return MeshPlan(
+        own_cell,
+        mates,
+        tuple(_iter_partners(cells, own_cell, own.node_id, now_s)),
+        len(cells),
+        own_cell == min(name for name, cell in cells.items() if cell.heard),
+    )
 
 
 def plan_digest_pause_s(n_cells: int) -> float:
--- a/packages/core/src/turmericcrank_core/proofs.py
+++ b/packages/core/src/turmericcrank_core/proofs.py
@@ -25,6 +25,8 @@
 
 _FIRST_AGE_S = 1.1
 _AGE_STEP_S = 0.1
+_FAR_FIRST_AGE_S = 1.6
+_FAR_AGE_STEP_S = 0.04
 _MAX_STEPS = 8
 _USUAL_S = 2
 _USUAL_REVOKE_S = 5
@@ -127,18 +129,21 @@
     )
 
 
-def plan_read_age_s(rank: int) -> float:
+def plan_read_age_s(rank: int, is_reading_cell: bool) -> float:
     """Plan the age of a proof at which a node reads the store itself.
 
     Nodes wait longer the higher their rank, so that one reading, told to
-    the others, is enough for all. Rank 0 always reads.
+    the others, is enough for all. Rank 0 of the cell that reads for all
+    always reads.
 
     Args:
-        rank: Place of the node among those that it hears, from 0.
+        rank: Place of the node among the mates that it hears, from 0.
+        is_reading_cell: Whether its cell reads for all.
     """
-    if rank == 0:
-        return 0
-    return _FIRST_AGE_S + _AGE_STEP_S * min(rank, _MAX_STEPS)
+    step = min(rank, _MAX_STEPS)
+    if not is_reading_cell:
+        return _FAR_FIRST_AGE_S + _FAR_AGE_STEP_S * step
+    return _FIRST_AGE_S + _AGE_STEP_S * step if rank else 0
 
 
 def _advance(proof: TableProof, proven_s: float) -> None:
--- a/packages/dev/src/turmericcrank_dev/news_bench.py
+++ b/packages/dev/src/turmericcrank_dev/news_bench.py
@@ -46,6 +46,7 @@
         is_ready=True,
         sent_s=1000.5,
         echo_s=999.5,
+        echo_incarnation='ba9876543210',
         echo_held_s=0.25,
         proofs=[[40, 0.5], [90, 0.5]],
         running_by_id=dict.fromkeys(upstream_ids[:16], 2),
--- a/packages/node/src/turmericcrank_node/membership/news_exchange.py
+++ b/packages/node/src/turmericcrank_node/membership/news_exchange.py
@@ -11,6 +11,7 @@
     plan_digest_pause_s,
     plan_mesh,
 )
+from turmericcrank_core.told_loads import forget_loads
 from turmericcrank_core.version_choice import expire_sessions
 
 from turmericcrank_node.membership.news_taking import take_news
@@ -18,19 +19,21 @@
     describe_across,
     describe_own,
     expire_news,
+    note_passed_on,
 )
 from turmericcrank_node.membership.node_news import NodeNews
 from turmericcrank_node.state.node_state import NodeState, describe_self
 
 __all__ = (
-    'PACE_S',
     'NewsExchange',
     'iter_messages',
     'make_greeting',
+    'plan_pause_s',
     'take_message',
 )
 
-PACE_S = 0.8
+_PACE_S = 0.8
+_LINK_PACE_S = 0.4
 _GREETED_S = 0.85
 _MAX_SESSION_AGE_S = 20
 
@@ -79,6 +82,7 @@
     plan = plan_mesh(state.members, describe_self(state), now_s)
     _note_plan(state, plan)
     own = describe_own(state, plan, now_s)
+    note_passed_on(state)
     for mate in plan.mates:
         yield mate.peer_address, _make_news(state, exchange, mate, own, now_s)
     if not plan.cell:
@@ -92,6 +96,14 @@
         yield peer.peer_address, news
 
 
+def plan_pause_s(state: NodeState) -> float:
+    """Plan the pause until the next messages, in seconds.
+
+    The ends of a link between cells pass on what is fresh sooner.
+    """
+    return _LINK_PACE_S if state.is_link_end else _PACE_S
+
+
 def make_greeting(
     state: NodeState, exchange: NewsExchange, now_s: float
 ) -> NodeNews:
@@ -117,7 +129,7 @@
     expire_news(state, now_s)
     for gone in expire_peers(state.members, now_s):
         exchange.heard_by_id.pop(gone.node_id, None)
-        state.told_running_by_node.pop(gone.node_id, None)
+        forget_loads(state.told_loads, gone.node_id)
     _note_silent(state, exchange, now_s)
 
 
@@ -127,6 +139,8 @@
     state.members.mate_ids = mate_ids if is_parted else None
     state.members.told_pause_s = plan_digest_pause_s(plan.n_cells) * is_parted
     state.cell = plan.cell
+    state.is_reading_cell = plan.is_first
+    state.is_link_end = bool(plan.partners)
 
 
 def _list_others(
@@ -173,5 +187,5 @@
     for node_id in list(state.members.by_id):
         if node_id not in heard_ids and node_id not in exchange.silent_ids:
             exchange.silent_ids.add(node_id)
-            state.told_running_by_node.pop(node_id, None)
+            forget_loads(state.told_loads, node_id)
             state.log.write(EventCode.member_silent, member=node_id)
--- a/packages/node/src/turmericcrank_node/membership/news_taking.py
+++ b/packages/node/src/turmericcrank_node/membership/news_taking.py
@@ -22,16 +22,22 @@
     RolloutState,
     merge_state,
 )
+from turmericcrank_core.told_loads import note_loads
 from turmericcrank_core.version_choice import note_session
 
 from turmericcrank_node.control.version_evidence import note_told_evidence
 from turmericcrank_node.membership.node_news import CellDigest, NodeNews
 from turmericcrank_node.platform_port import ChangedRow, FeedPage
 from turmericcrank_node.state.evidence_book import EvidenceCounts
-from turmericcrank_node.state.node_state import HeldDigest, NodeState
+from turmericcrank_node.state.node_state import (
+    HeldDigest,
+    NodeState,
+    ReadPage,
+)
 from turmericcrank_node.state.table_watch import (
     apply_configuration,
     apply_upstreams,
+    keep_page,
 )
 from turmericcrank_node.upstreams.crash_watch import note_crash_told
 
@@ -53,9 +59,9 @@
     """
     is_new = _take_peer(state, news, now_s)
     for page in news.pages:
-        _take_page(state, page)
+        _take_page(state, news, page, now_s)
     _take_proofs(state, news)
-    state.told_running_by_node[news.node_id] = news.running_by_id
+    note_loads(state.told_loads, news.node_id, news.running_by_id)
     for key, version, age_ms in news.sessions:
         note_session(state.sessions, key, version, now_s - age_ms / _MS)
     _take_counts(state, news, now_s)
@@ -134,11 +140,11 @@
     is_older = held is not None and held.made_s >= made_s
     if digest.cell == state.cell or is_older:
         return
-    is_from_there = news.cell == digest.cell
+    must_pass_on = news.cell == digest.cell
     state.digests_by_cell[digest.cell] = HeldDigest(
-        digest, made_s, is_from_there
+        digest, made_s, must_pass_on
     )
-    state.told_running_by_node[digest.cell] = digest.running_by_id
+    note_loads(state.told_loads, digest.cell, digest.running_by_id)
     for row in digest.members:
         _take_member(state, row, made_s)
     told_by_key = state.evidence.told_by_cell.setdefault(digest.cell, {})
@@ -146,7 +152,9 @@
     note_told_evidence(state, told_by_key, counts_by_key, now_s)
 
 
-def _take_page(state: NodeState, told: list[Any]) -> None:
+def _take_page(
+    state: NodeState, news: NodeNews, told: list[Any], now_s: float
+) -> None:
     """Apply changes that the peer has read, if they go on from this copy."""
     number, after, version, rows = told
     proof, apply = (
@@ -158,6 +166,11 @@
     page = FeedPage(tuple(ChangedRow(*row) for row in rows), version, 0)
     apply(state, page, is_whole=False)
     note_page(proof, version, max(row.version for row in page.rows))
+    if state.cell:
+        is_from_mate = news.cell == state.cell
+        keep_page(state, ReadPage(number, after, page, now_s, is_from_mate))
+        if state.is_link_end or not is_from_mate:
+            state.want_news()
 
 
 def _take_proofs(state: NodeState, news: NodeNews) -> None:
--- a/packages/node/src/turmericcrank_node/membership/news_writing.py
+++ b/packages/node/src/turmericcrank_node/membership/news_writing.py
@@ -12,6 +12,7 @@
     RolloutState,
     plan_largest_canary_share,
 )
+from turmericcrank_core.told_loads import forget_loads
 from turmericcrank_core.version_choice import iter_telling_sessions
 
 from turmericcrank_node.control.version_evidence import (
@@ -26,7 +27,12 @@
     describe_self,
 )
 
-__all__ = ('describe_across', 'describe_own', 'expire_news')
+__all__ = (
+    'describe_across',
+    'describe_own',
+    'expire_news',
+    'note_passed_on',
+)
 
 _REPEAT_S = 1.8
 _DIGEST_KEPT_S = 3
@@ -52,16 +58,32 @@
             for key, counts in iter_own_evidence(state)
             if counts.changed_s >= now_s - _REPEAT_S
         ],
+        'pages': [
+            _describe_page(page)
+            for page in _iter_recent_pages(state, now_s)
+            if not page.is_from_mate
+        ],
         'digests': list(_iter_passed_on(state, now_s)),
     }
 
 
+def note_passed_on(state: NodeState) -> None:
+    """Note that the mates were told what other cells have told."""
+    for held in state.digests_by_cell.values():
+        held.must_pass_on = False
+
+
 def describe_across(
     state: NodeState, plan: MeshPlan, now_s: float, is_digest_due: bool
 ) -> dict[str, Any]:
     """Give what nodes of other cells are told alike."""
     digests = [_describe_cell(state, plan, now_s)] if is_digest_due else []
-    return {**_describe_common(state, plan, now_s), 'digests': digests}
+    pages = _iter_recent_pages(state, now_s)
+    return {
+        **_describe_common(state, plan, now_s),
+        'pages': [_describe_page(page) for page in pages],
+        'digests': digests,
+    }
 
 
 def expire_news(state: NodeState, now_s: float) -> None:
@@ -74,13 +96,12 @@
     for cell, held in list(state.digests_by_cell.items()):
         if now_s - held.made_s > kept_s:
             state.digests_by_cell.pop(cell)
-            state.told_running_by_node.pop(cell, None)
+            forget_loads(state.told_loads, cell)
 
 
 def _describe_common(
     state: NodeState, plan: MeshPlan, now_s: float
 ) -> dict[str, Any]:
-    since_s = now_s - _REPEAT_S
     return {
         'cell': plan.cell,
         'proofs': [
@@ -96,11 +117,6 @@
             [crash.upstream_id, crash.at_s, list(crash.fingerprints)]
             for crash in state.recent_crashes
         ],
-        'pages': [
-            _describe_page(page)
-            for page in state.read_pages
-            if page.read_s >= since_s
-        ],
         'rollouts': [
             _describe_rollout(rollout, now_s)
             for rollout in state.rollouts_by_service.values()
@@ -137,16 +153,16 @@
 def _sum_running(state: NodeState, mate_ids: set[str]) -> dict[str, int]:
     running_by_id = Counter(state.running_by_id)
     for node_id in mate_ids:
-        running_by_id.update(state.told_running_by_node.get(node_id, {}))
+        told_by_id = state.told_loads.running_by_source.get(node_id, {})
+        running_by_id.update(told_by_id)
     return {name: count for name, count in running_by_id.items() if count}
 
 
 def _iter_passed_on(state: NodeState, now_s: float) -> Iterator[CellDigest]:
     """Yield what nodes of other cells have told this node just now."""
     for held in state.digests_by_cell.values():
-        age_s = now_s - held.made_s
-        if held.is_from_there and age_s <= _REPEAT_S:
-            yield replace(held.digest, age_s=age_s)
+        if held.must_pass_on:
+            yield replace(held.digest, age_s=now_s - held.made_s)
 
 
 def _describe_member(peer: Peer, now_s: float) -> list[Any]:
@@ -178,6 +194,12 @@
         yield state.random_source.choice(heard)
 
 
+def _iter_recent_pages(state: NodeState, now_s: float) -> Iterator[ReadPage]:
+    return (
+        page for page in state.read_pages if page.read_s >= now_s - _REPEAT_S
+    )
+
+
 def _describe_page(page: ReadPage) -> list[Any]:
     rows = [[row.key, row.version, row.body] for row in page.page.rows]
     return [page.table_number, page.after, page.page.version, rows]
--- a/packages/node/src/turmericcrank_node/membership/peer_news.py
+++ b/packages/node/src/turmericcrank_node/membership/peer_news.py
@@ -13,10 +13,10 @@
 from turmericcrank_core.network_address import split_address
 
 from turmericcrank_node.membership.news_exchange import (
-    PACE_S,
     NewsExchange,
     iter_messages,
     make_greeting,
+    plan_pause_s,
     take_message,
 )
 from turmericcrank_node.membership.node_news import (
@@ -49,7 +49,7 @@
 
 async def _tell(state: NodeState, exchange: NewsExchange, sock: Any) -> None:
     while True:
-        with trio.move_on_after(PACE_S):
+        with trio.move_on_after(plan_pause_s(state)):
             await state.news_wanted.wait()
         state.news_wanted = trio.Event()
         for address, news in iter_messages(state, exchange, read_boot_s()):
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -14,6 +14,7 @@
 from turmericcrank_core.rollout_phases import RolloutState
 from turmericcrank_core.routing import ClientLimits, RouteTable
 from turmericcrank_core.suspects import CrashRecord, SuspectBook
+from turmericcrank_core.told_loads import ToldLoads
 from turmericcrank_core.upstream_rows import UpstreamList
 from turmericcrank_core.version_choice import SessionBook, VersionBook
 
@@ -40,34 +41,37 @@
 
 @dataclass(slots=True, frozen=True)
 class ReadPage:
-    """Changes of one table that this node has read from the store.
+    """Changes of one table that a node has read from the store.
 
     Attributes:
         table_number: 0 for the configuration, 1 for the upstreams.
         after: Version of the store before them.
         page: The changes.
         read_s: When they were read, in seconds.
+        is_from_mate: Whether a node of this node's cell read or passed them
+            on, so that the whole cell has them.
     """
 
     table_number: int
     after: int
     page: FeedPage
     read_s: float
+    is_from_mate: bool = False
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class HeldDigest:
     """What another cell has told.
 
     Attributes:
         digest: The newest.
         made_s: When it was made, on this node's clock, in seconds.
-        is_from_there: Whether a node of that cell told it itself.
+        must_pass_on: Whether this node has yet to tell its mates.
     """
 
     digest: CellDigest
     made_s: float
-    is_from_there: bool
+    must_pass_on: bool
 
 
 @dataclass(slots=True)
@@ -91,9 +95,9 @@
     # Changed by peer_news.
     members: Members = field(default_factory=Members)
     cell: str = ''
-    told_running_by_node: dict[str, dict[str, int]] = field(
-        default_factory=dict
-    )
+    is_reading_cell: bool = True
+    is_link_end: bool = False
+    told_loads: ToldLoads = field(default_factory=ToldLoads)
     digests_by_cell: dict[str, HeldDigest] = field(default_factory=dict)
     news_wanted: trio.Event = field(default_factory=trio.Event)
     # Changed by upstreams.
--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -47,12 +47,14 @@
 __all__ = ('apply_configuration', 'apply_upstreams', 'serve_table_watch')
 
 _WAIT_S = 0.7
-_LOOK_PAUSE_S = 0.05
+_LOOK_PAUSE_S = 0.15
+_LEAST_PAUSE_S = 0.02
 _FAULT_PAUSE_S = 0.25
 _LONG_FAULT_PAUSE_S = 1
 _MS = 1000
 _HAND_OVER_S = 0.15
 _KEEP_PAGE_S = 1.8
+_SETTLING_S = 1.5
 _MAX_PAGE_BYTES = 2000
 
 ApplyRows = Callable[[NodeState, FeedPage, bool], None]
@@ -79,6 +81,19 @@
     behind_since_s: float | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class _Turn:
+    """The next reading of a table.
+
+    Attributes:
+        due_s: When, from now, in seconds.
+        wait_s: How long the store may wait for a change, in seconds.
+    """
+
+    due_s: float
+    wait_s: float
+
+
 async def serve_table_watch(state: NodeState) -> None:
     """Follow both tables for ever."""
     platform = state.platform
@@ -106,18 +121,34 @@
 
 
 async def _follow(state: NodeState, watch: TableWatch) -> None:
+    """Read a table whenever it is this node's turn."""
+    started_s = read_boot_s()
     while True:
         now_s = read_boot_s()
-        rank = plan_rank(state.members, state.settings.node_id, now_s)
-        is_behind_now = _is_behind_for_long(watch, now_s)
-        age_s = proof_age_s(watch.proof, now_s)
-        cadence = _plan_cadence(state)
-        if is_behind_now or age_s >= plan_read_age_s(rank) * cadence:
-            is_reader = rank == 0 and not is_behind_now
-            wait_s = _WAIT_S * cadence if is_reader else 0
-            await _read_once(state, watch, wait_s)
+        is_settling = now_s - started_s < _SETTLING_S
+        turn = _plan_turn(state, watch, now_s, is_settling)
+        if turn.due_s <= 0:
+            await _read_once(state, watch, turn.wait_s)
         else:
-            await trio.sleep(_LOOK_PAUSE_S)
+            pause_s = max(_LEAST_PAUSE_S, turn.due_s)
+            await trio.sleep(min(_LOOK_PAUSE_S, pause_s))
+
+
+def _plan_turn(
+    state: NodeState, watch: TableWatch, now_s: float, is_settling: bool
+) -> _Turn:
+    """Plan when this node reads next.
+
+    A node that has just started does not know its rank yet.
+    """
+    rank = plan_rank(state.members, state.settings.node_id, now_s)
+    rank = max(rank, int(is_settling))
+    if _is_behind_for_long(watch, now_s):
+        return _Turn(0, 0)
+    cadence = _plan_cadence(state)
+    due_age_s = plan_read_age_s(rank, state.is_reading_cell) * cadence
+    wait_s = 0 if due_age_s else _WAIT_S * cadence
+    return _Turn(due_age_s - proof_age_s(watch.proof, now_s), wait_s)
 
 
 def _plan_cadence(state: NodeState) -> float:
--- a/packages/node/src/turmericcrank_node/upstreams/candidates.py
+++ b/packages/node/src/turmericcrank_node/upstreams/candidates.py
@@ -93,10 +93,7 @@
 
 def count_running(state: NodeState, upstream_id: str) -> int:
     """Count the requests at an upstream, from all nodes that are heard."""
-    told = sum(
-        running_by_id.get(upstream_id, 0)
-        for running_by_id in state.told_running_by_node.values()
-    )
+    told = state.told_loads.total_by_id[upstream_id]
     return told + state.running_by_id.get(upstream_id, 0)
 
 
--- a/tests/core/test_proofs.py
+++ b/tests/core/test_proofs.py
@@ -54,17 +54,27 @@
 
 
 def test_one_reader_is_enough_and_the_others_follow_when_it_is_silent():
-    ages_s = [plan_read_age_s(rank) for rank in range(490)]
+    ages_s = [plan_read_age_s(rank, True) for rank in range(490)]
     assert ages_s[0] == 0
     assert min(ages_s[1:]) >= 1
     assert max(ages_s) < 2
     assert ages_s == sorted(ages_s)
 
 
+def test_cells_that_do_not_read_for_all_wait_for_news_of_it():
+    ages_s = [plan_read_age_s(rank, False) for rank in range(490)]
+    assert min(ages_s) > plan_read_age_s(1, True)
+    assert max(ages_s) < 2
+
+
 @given(st.floats(0.5, 5), st.floats(0.5, 5), st.floats(1, 10))
 def test_reading_keeps_up_with_tight_promises(apply_s, drain_s, revoke_s):
     """The last node that reads for itself does so before each bound."""
     cadence = plan_cadence(apply_s, drain_s, revoke_s)
-    oldest_s = max(plan_read_age_s(rank) for rank in range(20)) * cadence
+    oldest_s = cadence * max(
+        plan_read_age_s(rank, is_reading_cell)
+        for rank in range(20)
+        for is_reading_cell in (True, False)
+    )
     assert oldest_s < min(apply_s, drain_s, revoke_s * 0.8)
     assert plan_cadence(2, 2, 5) == 1
--- /dev/null
+++ b/tests/core/test_told_loads.py
@@ -0,0 +1,24 @@
+"""Sums of what other nodes have told of their loads."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from turmericcrank_core.told_loads import ToldLoads, forget_loads, note_loads
+
+_sources = st.sampled_from(['n1', 'n2', 'cell'])
+_loads = st.dictionaries(st.sampled_from(['u1', 'u2']), st.integers(1, 9))
+
+
+@given(st.lists(st.tuples(_sources, st.none() | _loads)))
+def test_the_sums_are_those_of_the_last_tellings(tellings):
+    loads = ToldLoads()
+    last_by_source = {}
+    for source, running_by_id in tellings:
+        if running_by_id is None:
+            forget_loads(loads, source)
+            last_by_source.pop(source, None)
+        else:
+            note_loads(loads, source, running_by_id)
+            last_by_source[source] = running_by_id
+    for upstream_id in ('u1', 'u2'):
+        told = [one.get(upstream_id, 0) for one in last_by_source.values()]
+        assert loads.total_by_id[upstream_id] == sum(told)
--- a/tests/membership/test_mesh.py
+++ b/tests/membership/test_mesh.py
@@ -3,7 +3,13 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from turmericcrank_core.membership import plan_rank
 from turmericcrank_core.mesh import plan_digest_pause_s
+from turmericcrank_core.proofs import (
+    note_reading,
+    plan_read_age_s,
+    proof_age_s,
+)
 from turmericcrank_core.rollout_phases import RolloutPhase
 from turmericcrank_core.suspects import CrashRecord
 from turmericcrank_node.control.version_evidence import (
@@ -11,6 +17,9 @@
     make_version_key,
     note_version_answer,
 )
+from turmericcrank_node.platform_port import ChangedRow, FeedPage
+from turmericcrank_node.state.node_state import ReadPage
+from turmericcrank_node.state.table_watch import keep_page
 from turmericcrank_node.upstreams.candidates import count_running
 
 from tests.mesh_play import make_node, play_start
@@ -163,6 +172,43 @@
     assert not any(told)
 
 
+def _find_reader(play):
+    """Find the node that reads the store for all."""
+    for node in play.nodes:
+        rank = plan_rank(node.state.members, node.node_id, play.now_s)
+        if node.state.is_reading_cell and rank == 0:
+            yield node
+
+
+def test_one_node_reads_for_all_and_its_proofs_reach_them_in_time():
+    play = play_start(_MANY)
+    for _ in range(8):
+        readers = list(_find_reader(play))
+        assert len(readers) == 1
+        proof = readers[0].state.upstream_proof
+        note_reading(proof, 1, 1, play.now_s)
+        readers[0].state.want_news()
+        play.play(0.7)
+    ages_s = [
+        proof_age_s(node.state.upstream_proof, play.now_s)
+        for node in play.nodes
+    ]
+    assert max(ages_s) < plan_read_age_s(0, False) + 0.1
+    assert sum(ages_s) / len(ages_s) < plan_read_age_s(1, True)
+
+
+def test_a_change_that_one_node_has_read_reaches_every_cell_at_once():
+    play = play_start(_MANY)
+    reader = next(_find_reader(play)).state
+    page = FeedPage((ChangedRow('u1', 5, b'x'),), 5, 0)
+    keep_page(reader, ReadPage(1, 1, page, play.now_s))
+    note_reading(reader.upstream_proof, 5, 5, play.now_s)
+    reader.want_news()
+    play.play(0.5)
+    versions = {node.state.upstream_proof.read_version for node in play.nodes}
+    assert versions == {5}
+
+
 def test_digests_are_rarer_the_more_cells_there_are():
     pauses = [plan_digest_pause_s(number) for number in (1, 4, 8, 32)]
     assert pauses == [0.8, 0.8, 1.6, 6.4]
--- a/tests/membership/test_news.py
+++ b/tests/membership/test_news.py
@@ -10,6 +10,7 @@
     proof_age_s,
 )
 from turmericcrank_core.rollout_phases import RolloutPhase
+from turmericcrank_dev.news_bench import run_news
 from turmericcrank_node.membership.news_taking import take_news
 from turmericcrank_node.membership.node_news import (
     NodeNews,
@@ -53,6 +54,11 @@
     assert news is None or isinstance(news, NodeNews)
 
 
+def test_messages_are_larger_the_more_they_tell_of():
+    sizes = [line.value for line in run_news() if line.name.endswith('bytes')]
+    assert sizes == sorted(sizes)
+
+
 def test_a_message_comes_out_as_it_went_in():
     news = _news(running_by_id={'u1': 2}, sessions=[['s', 'v1', 0.5]])
     assert unpack_news(pack_news(news)) == news
--- a/tests/mesh_play.py
+++ b/tests/mesh_play.py
@@ -5,10 +5,10 @@
 
 from turmericcrank_core.membership import iter_heard
 from turmericcrank_node.membership.news_exchange import (
-    PACE_S,
     NewsExchange,
     iter_messages,
     make_greeting,
+    plan_pause_s,
     take_message,
 )
 from turmericcrank_node.membership.node_news import pack_news, unpack_news
@@ -78,7 +78,7 @@
 
     def _tell(self, node):
         node.state.news_wanted = type(node.state.news_wanted)()
-        node.next_s = self.now_s + PACE_S
+        node.next_s = self.now_s + plan_pause_s(node.state)
         messages = list(iter_messages(node.state, node.exchange, self.now_s))
         for address, news in messages:
             self._deliver(node, address, news)
@@ -107,7 +107,7 @@
     state.settings = replace(
         state.settings, data_centre=data_centre, addresses=addresses
     )
-    return PlayedNode(state, now_s + PACE_S * random.Random(number).random())
+    return PlayedNode(state, now_s + 0.8 * random.Random(number).random())
 
 
 def play_start(n_by_data_centre, loss=0.0, for_s=4.0):
