Believe an upstream that says it leaves or has no room, and bound what it may send

Change: core/upstream_notices keeps leavers with the start they concern, told to all nodes while their row is listed, and waits per node; placement, load and Retry-After heed both. A 503, 429 or 408 that does not say not run is no longer passed on as one. News are msgspec structs, checked while unpacked. retry-after is a standard header (RFC 9110), so the leak check allows it.

--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -51,6 +51,8 @@
     upstream_listed = 608
     upstream_missing = 609
     cell_changed = 610
+    upstream_deferred = 611
+    news_rejected = 612
     draft_kept = 700
     draft_taken = 701
     draft_finished = 702
--- a/packages/dev/src/turmericcrank_dev/leak_check.py
+++ b/packages/dev/src/turmericcrank_dev/leak_check.py
@@ -24,6 +24,7 @@
         'proxy-authenticate',
         'proxy-authorization',
         'proxy-connection',
+        'retry-after',
         'transfer-encoding',
         'x-request-id',
     )
--- a/packages/node/src/turmericcrank_node/http_wire.py
+++ b/packages/node/src/turmericcrank_node/http_wire.py
@@ -34,6 +34,7 @@
 
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
+_MAX_INTERIM_HEADS = 16
 _USER_TIMEOUT_MS = 3000
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
@@ -155,8 +156,8 @@
 async def read_response_head(
     connection: UpstreamConnection,
 ) -> ResponseHead | ReadFault:
-    """Read the head of the final response."""
-    while True:
+    """Read the head of the final response, after a few interim ones."""
+    for _number in range(_MAX_INTERIM_HEADS + 1):
         event = await _next_event(connection)
         if isinstance(event, ReadFault):
             return event
@@ -164,6 +165,7 @@
             return ResponseHead(event.status_code, list(event.headers))
         if not isinstance(event, h11.InformationalResponse):
             return ReadFault.ended_early
+    return ReadFault.too_large
 
 
 async def read_body_part(
--- a/packages/node/src/turmericcrank_node/membership/news_taking.py
+++ b/packages/node/src/turmericcrank_node/membership/news_taking.py
@@ -1,7 +1,6 @@
 """Takes what another node tells into the state of this one."""
 
-from collections.abc import Iterator
-from typing import Any
+from collections.abc import Iterable, Iterator
 
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.membership import (
@@ -23,10 +22,18 @@
     merge_state,
 )
 from turmericcrank_core.told_loads import note_loads
+from turmericcrank_core.upstream_notices import note_leaving
 from turmericcrank_core.version_choice import note_session
 
 from turmericcrank_node.control.version_evidence import note_told_evidence
-from turmericcrank_node.membership.node_news import CellDigest, NodeNews
+from turmericcrank_node.membership.node_news import (
+    CellDigest,
+    EvidenceRow,
+    MemberRow,
+    NodeNews,
+    PageRow,
+    RolloutRow,
+)
 from turmericcrank_node.platform_port import ChangedRow, FeedPage
 from turmericcrank_node.state.evidence_book import EvidenceCounts
 from turmericcrank_node.state.node_state import (
@@ -66,6 +73,9 @@
         note_session(state.sessions, key, version, now_s - age_ms / _MS)
     _take_counts(state, news, now_s)
     has_news = [note_crash_told(state, *crash) for crash in news.crashes]
+    has_news += [
+        note_leaving(state.notices, *leaver, now_s) for leaver in news.leavers
+    ]
     has_news += [_take_rollout(state, row, now_s) for row in news.rollouts]
     if news.cell != state.mesh.cell and any(has_news):
         state.want_news()
@@ -86,7 +96,7 @@
 
 
 def _iter_evidence(
-    rows: list[Any],
+    rows: Iterable[EvidenceRow],
 ) -> Iterator[tuple[tuple[str, str], EvidenceCounts]]:
     for version_key, upstream_id, *counts in rows:
         yield (version_key, upstream_id), EvidenceCounts(*counts)
@@ -113,7 +123,7 @@
     return is_new
 
 
-def _take_member(state: NodeState, row: list[Any], now_s: float) -> None:
+def _take_member(state: NodeState, row: MemberRow, now_s: float) -> None:
     *names, is_ready, age_ms = row
     node_id, data_centre, peer_address, client_address = names
     if node_id == state.settings.node_id:
@@ -153,7 +163,7 @@
 
 
 def _take_page(
-    state: NodeState, news: NodeNews, told: list[Any], now_s: float
+    state: NodeState, news: NodeNews, told: PageRow, now_s: float
 ) -> None:
     """Apply changes that the peer has read, if they go on from this copy."""
     number, after, version, rows = told
@@ -188,7 +198,7 @@
         note_peer_proof(proof, PeerProof(change, proven_s))
 
 
-def _take_rollout(state: NodeState, row: list[Any], now_s: float) -> bool:
+def _take_rollout(state: NodeState, row: RolloutRow, now_s: float) -> bool:
     """Take a phase; tell whether it is new here."""
     *order_fields, phase, age_s = row
     order = RolloutOrder(*order_fields)
--- a/packages/node/src/turmericcrank_node/membership/news_writing.py
+++ b/packages/node/src/turmericcrank_node/membership/news_writing.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
+import msgspec
 from turmericcrank_core.membership import Peer, iter_heard, iter_newcomers
 from turmericcrank_core.proofs import TableProof, proof_age_s
 from turmericcrank_core.rollout_phases import (
@@ -12,6 +13,7 @@
     plan_largest_canary_share,
 )
 from turmericcrank_core.told_loads import forget_loads
+from turmericcrank_core.upstream_notices import iter_leavers
 from turmericcrank_core.version_choice import iter_telling_sessions
 
 from turmericcrank_node.control.version_evidence import (
@@ -112,6 +114,7 @@
             [crash.upstream_id, crash.at_s, list(crash.fingerprints)]
             for crash in state.recent_crashes
         ],
+        'leavers': list(iter_leavers(state.notices, state.listed.by_id)),
         'rollouts': [
             _describe_rollout(rollout, now_s)
             for rollout in state.rollouts_by_service.values()
@@ -155,7 +158,8 @@
     """Yield what nodes of other cells have told this node just now."""
     for held in state.digests_by_cell.values():
         if held.must_pass_on:
-            yield replace(held.digest, age_s=now_s - held.made_s)
+            age_s = now_s - held.made_s
+            yield msgspec.structs.replace(held.digest, age_s=age_s)
 
 
 def _describe_member(peer: Peer, now_s: float) -> list[Any]:
--- a/packages/node/src/turmericcrank_node/membership/node_news.py
+++ b/packages/node/src/turmericcrank_node/membership/node_news.py
@@ -1,22 +1,45 @@
 """The message by which nodes tell each other what they know.
 
-It is one datagram, packed with msgpack. Counts in it only grow, times are
+It is one datagram, packed as msgpack. Counts in it only grow, times are
 ages, and each message repeats what is recent, so a lost or repeated one
-does no harm.
+does no harm. Bytes of another form are no message: each field is checked
+while it is unpacked, so that nothing else has to expect a wrong type.
 """
 
-from dataclasses import dataclass, field, fields
-from typing import Any
-
-import msgpack
-
-__all__ = ('CellDigest', 'NodeNews', 'pack_news', 'unpack_news')
-
-_FORMAT = 2
-
-
-@dataclass(slots=True, frozen=True)
-class CellDigest:
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+__all__ = (
+    'CellDigest',
+    'CrashRow',
+    'EvidenceRow',
+    'MemberRow',
+    'NodeNews',
+    'PageRow',
+    'RolloutRow',
+    'pack_news',
+    'unpack_news',
+)
+
+_FORMAT = 3
+_LAST_TABLE = 1
+_LAST_PHASE = 4
+
+_Count = Annotated[int, Meta(ge=0)]
+MemberRow = tuple[str, str, str, str, bool, int]
+EvidenceRow = tuple[str, str, _Count, _Count, _Count]
+CrashRow = tuple[str, float, list[str]]
+_TableNumber = Annotated[int, Meta(ge=0, le=_LAST_TABLE)]
+_StoreRow = tuple[str, int, bytes | None]
+_StoreRows = Annotated[list[_StoreRow], Meta(min_length=1)]
+PageRow = tuple[_TableNumber, int, int, _StoreRows]
+_PhaseNumber = Annotated[int, Meta(ge=0, le=_LAST_PHASE)]
+RolloutRow = tuple[str, str, float, int, _PhaseNumber, float]
+
+
+class CellDigest(msgspec.Struct, array_like=True, frozen=True):
     """What one cell tells another, made by one node of it.
 
     Attributes:
@@ -29,13 +52,12 @@
 
     cell: str
     age_s: float
-    members: list[Any]
-    running_by_id: dict[str, int]
-    evidence: list[Any]
+    members: list[MemberRow]
+    running_by_id: dict[str, _Count]
+    evidence: list[EvidenceRow]
 
 
-@dataclass(slots=True, frozen=True)
-class NodeNews:
+class NodeNews(msgspec.Struct, array_like=True, frozen=True):
     """What one node tells another.
 
     Attributes:
@@ -67,8 +89,11 @@
         pages: Changes that the sender has read from the store lately:
             number of the table, versions before and after, rows of key,
             version and body.
+        leavers: Name and start of each upstream that is listed and has said
+            that it leaves.
         cell: Cell of the sender; empty while all nodes are one.
         digests: What whole cells know.
+        format_number: Form of the message; it changes with the fields.
     """
 
     node_id: str
@@ -81,43 +106,33 @@
     echo_s: float
     echo_incarnation: str
     echo_held_s: float
-    proofs: list[Any] = field(default_factory=list)
-    running_by_id: dict[str, int] = field(default_factory=dict)
-    sessions: list[Any] = field(default_factory=list)
-    tallies: list[Any] = field(default_factory=list)
-    evidence: list[Any] = field(default_factory=list)
-    rollouts: list[Any] = field(default_factory=list)
-    members: list[Any] = field(default_factory=list)
-    crashes: list[Any] = field(default_factory=list)
-    pages: list[Any] = field(default_factory=list)
+    proofs: Annotated[list[tuple[int, float]], Meta(min_length=2, max_length=2)]
+    running_by_id: dict[str, _Count] = {}
+    sessions: list[tuple[str, str, int]] = []
+    tallies: list[tuple[str, _Count, _Count]] = []
+    evidence: list[EvidenceRow] = []
+    rollouts: list[RolloutRow] = []
+    members: list[MemberRow] = []
+    crashes: list[CrashRow] = []
+    pages: list[PageRow] = []
+    leavers: list[tuple[str, int]] = []
     cell: str = ''
-    digests: list[CellDigest] = field(default_factory=list)
+    digests: list[CellDigest] = []
+    format_number: Annotated[int, Meta(ge=_FORMAT, le=_FORMAT)] = _FORMAT
 
 
-_NAMES = tuple(part.name for part in fields(NodeNews))
-_DIGEST_NAMES = tuple(part.name for part in fields(CellDigest))
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(NodeNews)
 
 
 def pack_news(news: NodeNews) -> bytes:
     """Pack one message."""
-    parts = [getattr(news, name) for name in _NAMES]
-    parts[-1] = [
-        [getattr(digest, name) for name in _DIGEST_NAMES]
-        for digest in news.digests
-    ]
-    return bytes(msgpack.packb([_FORMAT, *parts]))
+    return _ENCODER.encode(news)
 
 
 def unpack_news(raw: bytes) -> NodeNews | None:
     """Build a message from its bytes; None when it is not one."""
     try:
-        unpacked = msgpack.unpackb(raw)
-    except (ValueError, msgpack.UnpackException):
-        return None
-    if not isinstance(unpacked, list) or len(unpacked) != len(_NAMES) + 1:
-        return None
-    number, *parts = unpacked
-    if number != _FORMAT:
+        return _DECODER.decode(raw)
+    except (ValueError, RecursionError):
         return None
-    parts[-1] = [CellDigest(*digest) for digest in parts[-1]]
-    return NodeNews(*parts)
--- a/packages/node/src/turmericcrank_node/membership/peer_news.py
+++ b/packages/node/src/turmericcrank_node/membership/peer_news.py
@@ -27,7 +27,7 @@
 from turmericcrank_node.platform_port import StoreUnavailable
 from turmericcrank_node.state.node_state import NodeState, read_boot_s
 
-__all__ = ('serve_peer_news',)
+__all__ = ('serve_peer_news', 'take_datagram')
 
 _REST_S = 0.05
 _MAX_DATAGRAM = 65000
@@ -123,6 +123,20 @@
             raw, _sender = await sock.recvfrom(_MAX_DATAGRAM)
         except OSError:
             continue
-        news = unpack_news(raw)
-        if news is not None and news.node_id != state.settings.node_id:
-            take_message(state, exchange, news, read_boot_s())
+        take_datagram(state, exchange, raw)
+
+
+def take_datagram(state: NodeState, exchange: NewsExchange, raw: bytes) -> None:
+    """Take one message; whatever it holds, it ends nothing else."""
+    news = unpack_news(raw)
+    if news is None:
+        state.log.write(EventCode.news_rejected, n_bytes=len(raw))
+        return
+    if news.node_id == state.settings.node_id:
+        return
+    try:
+        take_message(state, exchange, news, read_boot_s())
+    except Exception as error:
+        state.log.write(
+            EventCode.internal_fault, sender=news.node_id, detail=repr(error)
+        )
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -161,6 +161,9 @@
         is_signed: Whether it bears the upstream's signature.
         is_not_run: Whether it states that the request did not run.
         confidence: What the model thinks of its answer, 0 to 100.
+        is_leaving: Whether the upstream states that it is about to leave.
+        retry_after_s: How long the upstream wants nothing more from this
+            node, in seconds; None if it does not say.
         headers: What the client gets of its headers.
     """
 
@@ -168,6 +171,8 @@
     is_signed: bool
     is_not_run: bool
     confidence: float | None
+    is_leaving: bool = False
+    retry_after_s: float | None = None
     headers: Headers = field(default_factory=list)
 
 
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -42,7 +42,8 @@
 __all__ = ('Relay', 'relay_stream')
 
 _LOOK_S = 0.8
-_MAX_SILENT_S = 3.2
+_MAX_PAUSE_S = 3.2
+_MAX_EVENT_BYTES = 0x100000
 _MAX_FAILURE_BYTES = 0x1000000
 _LADDER = LadderSettings()
 
@@ -81,18 +82,25 @@
     step = _plan_step(state, relay)
     if step is not None:
         return Doubted(step)
-    relay.progress.splitter = EventSplitter()
+    splitter = EventSplitter()
+    relay.progress.splitter = splitter
+    event_s = trio.current_time()
     while True:
-        part = await _read_part(relay)
+        part = await _read_part(relay, event_s)
         if isinstance(part, _Stalled):
             return AttemptFault(FaultKind.unknown, 'stalled')
         if isinstance(part, ReadFault):
             return AttemptFault(FaultKind.unknown, part.value)
         if part is None:
             return await _finish(relay)
-        await _pass_on(relay, split_events(relay.progress.splitter, part))
+        events = split_events(splitter, part)
+        if len(splitter.rest) > _MAX_EVENT_BYTES:
+            return AttemptFault(FaultKind.unknown, ReadFault.too_large.value)
+        await _pass_on(relay, events)
         if relay.progress.is_client_gone:
             return AttemptFault(FaultKind.unknown, 'client gone')
+        if any(event.event_id for event in events):
+            event_s = trio.current_time()
 
 
 async def _read_failure(relay: Relay) -> StreamOutcome:
@@ -103,21 +111,27 @@
     return Failed(relay.answering, body)
 
 
-async def _read_part(relay: Relay) -> bytes | ReadFault | _Stalled | None:
+async def _read_part(
+    relay: Relay, event_s: float
+) -> bytes | ReadFault | _Stalled | None:
     """Read the next part of a stream, however long it takes.
 
-    Silence ends the attempt only when another one may follow: at once if
-    the host does not respond, else after a long pause.
+    A pause ends the attempt only when another one may follow: at once if
+    the host does not respond, else after a long time without an event,
+    whether or not single bytes arrive.
+
+    Args:
+        relay: The two ends of the stream.
+        event_s: When the last whole event came, on trio's clock.
     """
-    silent_s: float = 0
     while True:
+        is_late = trio.current_time() - event_s >= _MAX_PAUSE_S
+        if is_late and may_follow(relay.work):
+            return _STALLED
         with trio.move_on_after(_LOOK_S):
             return await read_body_part(relay.answering.connection)
-        silent_s += _LOOK_S
-        if may_follow(relay.work):
-            is_dead = await is_host_silent(relay.upstream)
-            if is_dead or silent_s >= _MAX_SILENT_S:
-                return _STALLED
+        if may_follow(relay.work) and await is_host_silent(relay.upstream):
+            return _STALLED
 
 
 def _plan_step(state: NodeState, relay: Relay) -> int | None:
--- a/packages/node/src/turmericcrank_node/serving/work.py
+++ b/packages/node/src/turmericcrank_node/serving/work.py
@@ -20,7 +20,12 @@
 from turmericcrank_node.serving.client_connection import ClientExchange
 from turmericcrank_node.state.node_state import NodeState, read_boot_s
 from turmericcrank_node.upstreams.attempt import AttemptFault, FaultKind
-from turmericcrank_node.upstreams.candidates import Need, choose, find_rollout
+from turmericcrank_node.upstreams.candidates import (
+    Need,
+    choose,
+    find_rollout,
+    shortest_deferral_s,
+)
 from turmericcrank_node.upstreams.crash_watch import (
     is_banned,
     note_survived,
@@ -272,7 +277,8 @@
     if fault.kind is not FaultKind.unknown:
         code = ResultCode.no_upstream
         spread_s = state.random_source.random() * _COME_BACK_SPREAD_S
-        retry_after_s = _COME_BACK_S + spread_s
+        wait_s = shortest_deferral_s(state, work.need.service)
+        retry_after_s = max(_COME_BACK_S, wait_s) + spread_s
     elif time_left_s(work) <= 0:
         code = ResultCode.deadline_passed
     await refuse(
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -16,6 +16,7 @@
 from turmericcrank_core.routing import ClientLimits, RouteTable
 from turmericcrank_core.suspects import CrashRecord, SuspectBook
 from turmericcrank_core.told_loads import ToldLoads
+from turmericcrank_core.upstream_notices import UpstreamNotices
 from turmericcrank_core.upstream_rows import UpstreamList
 from turmericcrank_core.version_choice import SessionBook, VersionBook
 
@@ -102,6 +103,7 @@
     # Changed by upstreams.
     running_by_id: dict[str, int] = field(default_factory=dict)
     outcomes: OutcomeBook = field(default_factory=OutcomeBook)
+    notices: UpstreamNotices = field(default_factory=UpstreamNotices)
     sessions: SessionBook = field(default_factory=SessionBook)
     speeds: SpeedBook = field(default_factory=SpeedBook)
     forecast: SpeedForecast = field(default_factory=SpeedForecast)
--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -24,6 +24,7 @@
     RolloutPhase,
     RolloutState,
 )
+from turmericcrank_core.upstream_notices import expire_notices
 from turmericcrank_core.upstream_rows import (
     expire_lapsed,
     iter_usable,
@@ -298,6 +299,7 @@
             if upstream_id not in present:
                 note_missing(state.listed, upstream_id, now_s)
     expire_lapsed(state.listed, now_s)
+    expire_notices(state.notices, state.listed.by_id, now_s)
     _refresh_versions(state, now_s)
 
 
--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -2,9 +2,12 @@
 
 import enum
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import trio
+from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.network_address import split_address
+from turmericcrank_core.upstream_notices import defer_upstream, note_leaving
 from turmericcrank_core.upstream_rows import ListedUpstream
 
 from turmericcrank_node.http_wire import (
@@ -18,7 +21,7 @@
     write_request,
 )
 from turmericcrank_node.platform_port import AnswerHead, Call, Sending
-from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.state.node_state import NodeState, read_boot_s
 
 __all__ = (
     'Answering',
@@ -33,6 +36,14 @@
 _LOOK_S = 1.2
 _NO_RESPONSE = 'no response in time'
 _SILENCES = frozenset((_NO_RESPONSE, 'stalled'))
+_NOT_RUN_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 
 
 class FaultKind(enum.StrEnum):
@@ -141,7 +152,11 @@
         return AttemptFault(FaultKind.unknown, _NO_RESPONSE)
     if isinstance(head, ReadFault):
         return AttemptFault(FaultKind.unknown, head.value)
-    return _check_head(state, call, connection, head)
+    answer = state.platform.decode_answer(head.status, head.headers)
+    if answer.request_id and answer.request_id != call.request_id:
+        return AttemptFault(FaultKind.unknown, 'another request was answered')
+    _take_notices(state, upstream, answer)
+    return _check_head(connection, head.status, answer)
 
 
 async def _watch_host(
@@ -178,17 +193,38 @@
     return None
 
 
+def _take_notices(
+    state: NodeState, upstream: ListedUpstream, answer: AnswerHead
+) -> None:
+    """Take what an upstream says of itself in its response."""
+    upstream_id = upstream.upstream_id
+    now_s = read_boot_s()
+    if answer.retry_after_s is not None:
+        wait_s = answer.retry_after_s
+        defer_upstream(state.notices, upstream_id, wait_s, now_s)
+        state.log.write(
+            EventCode.upstream_deferred, upstream=upstream_id, wait_s=wait_s
+        )
+    if not answer.is_leaving:
+        return
+    if note_leaving(state.notices, upstream_id, upstream.born_ms, now_s):
+        state.log.write(
+            EventCode.upstream_leaving,
+            upstream=upstream_id,
+            born_ms=upstream.born_ms,
+            source='response',
+        )
+        state.want_news()
+
+
 def _check_head(
-    state: NodeState,
-    call: Call,
-    connection: UpstreamConnection,
-    head: ResponseHead,
+    connection: UpstreamConnection, status: int, answer: AnswerHead
 ) -> Answering | AttemptFault:
-    answer = state.platform.decode_answer(head.status, head.headers)
     if answer.is_not_run:
-        return AttemptFault(FaultKind.not_run, f'status {head.status}')
-    if answer.request_id and answer.request_id != call.request_id:
-        return AttemptFault(FaultKind.unknown, 'another request was answered')
-    if is_success(head.status) and not answer.is_signed:
+        return AttemptFault(FaultKind.not_run, f'status {status}')
+    if is_success(status) and not answer.is_signed:
         return AttemptFault(FaultKind.unknown, 'no signature')
-    return Answering(connection, head.status, answer)
+    if status in _NOT_RUN_STATUSES:
+        # Passed on, it would promise that the request has not run.
+        return AttemptFault(FaultKind.unknown, f'status {status}, unexplained')
+    return Answering(connection, status, answer)
--- a/packages/node/src/turmericcrank_node/upstreams/candidates.py
+++ b/packages/node/src/turmericcrank_node/upstreams/candidates.py
@@ -14,13 +14,21 @@
     RolloutState,
     plan_canary_share,
 )
+from turmericcrank_core.upstream_notices import deferred_s, is_leaving
 from turmericcrank_core.upstream_rows import ListedUpstream, iter_usable
 from turmericcrank_core.version_choice import choose_versions
 
 from turmericcrank_node.control.version_evidence import count_answers
 from turmericcrank_node.state.node_state import NodeState, read_boot_s
 
-__all__ = ('Need', 'choose', 'count_running', 'find_rollout', 'service_load')
+__all__ = (
+    'Need',
+    'choose',
+    'count_running',
+    'find_rollout',
+    'service_load',
+    'shortest_deferral_s',
+)
 
 _JITTER = 0.02
 _SETTINGS = PlacementSettings()
@@ -99,7 +107,7 @@
 
 def service_load(state: NodeState, service: str) -> float:
     """Give the requests at a service, as a share of what keeps it busy."""
-    usable = list(iter_usable(state.listed, service, read_boot_s()))
+    usable = list(_iter_open(state, service, read_boot_s()))
     n_busy = sum(
         min(upstream.slots, _SETTINGS.busy_running) for upstream in usable
     )
@@ -109,10 +117,37 @@
     return n_running / max(1, n_busy)
 
 
+def shortest_deferral_s(state: NodeState, service: str) -> float:
+    """Give how long until an upstream that is left wants work again.
+
+    0 where one wants work now, or where there is none.
+    """
+    now_s = read_boot_s()
+    return min(
+        (
+            deferred_s(state.notices, upstream.upstream_id, now_s)
+            for upstream in iter_usable(state.listed, service, now_s)
+            if not is_leaving(state.notices, upstream)
+        ),
+        default=0,
+    )
+
+
+def _iter_open(
+    state: NodeState, service: str, now_s: float
+) -> Iterator[ListedUpstream]:
+    """Yield the upstreams that are listed and want work from this node."""
+    notices = state.notices
+    for upstream in iter_usable(state.listed, service, now_s):
+        wait_s = deferred_s(notices, upstream.upstream_id, now_s)
+        if wait_s <= 0 and not is_leaving(notices, upstream):
+            yield upstream
+
+
 def _iter_candidates(
     state: NodeState, service: str, now_s: float
 ) -> Iterator[Candidate]:
-    for upstream in iter_usable(state.listed, service, now_s):
+    for upstream in _iter_open(state, service, now_s):
         upstream_id = upstream.upstream_id
         yield Candidate(
             upstream,
--- a/tests/membership/test_news.py
+++ b/tests/membership/test_news.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import msgpack
 from hypothesis import given
 from hypothesis import strategies as st
 from turmericcrank_core.proofs import (
@@ -10,21 +11,29 @@
     proof_age_s,
 )
 from turmericcrank_core.rollout_phases import RolloutPhase
+from turmericcrank_core.upstream_notices import note_leaving
 from turmericcrank_dev.news_bench import run_news
+from turmericcrank_node.membership.news_exchange import NewsExchange
 from turmericcrank_node.membership.news_taking import take_news
+from turmericcrank_node.membership.news_writing import describe_own
 from turmericcrank_node.membership.node_news import (
     NodeNews,
     pack_news,
     unpack_news,
 )
+from turmericcrank_node.membership.peer_news import take_datagram
 from turmericcrank_node.platform_port import ChangedRow, FeedPage
 from turmericcrank_node.state.node_state import ReadPage, read_boot_s
 from turmericcrank_node.state.table_watch import keep_page
-from turmericcrank_node.upstreams.candidates import count_running
+from turmericcrank_node.upstreams.candidates import (
+    Need,
+    choose,
+    count_running,
+)
 from turmericcrank_node.upstreams.crash_watch import is_banned
 
-from tests.router_builders import make_route, make_table
-from tests.router_fakes import make_node_state
+from tests.router_builders import make_route, make_table, make_upstream
+from tests.router_fakes import list_upstreams, make_node_state
 
 
 def _news(**fields):
@@ -39,7 +48,7 @@
         'echo_s': -1.0,
         'echo_incarnation': '',
         'echo_held_s': 0.0,
-        'proofs': [[0, -1], [0, -1]],
+        'proofs': [(0, -1), (0, -1)],
     }
     return NodeNews(**{**usual, **fields})
 
@@ -54,13 +63,53 @@
     assert news is None or isinstance(news, NodeNews)
 
 
+_FULL_FIELDS = {
+    'running_by_id': {'u1': 2},
+    'sessions': [('s', 'v1', 500)],
+    'tallies': [('u1', 3, 1)],
+    'evidence': [('engine/5/*', 'u1', 3, 1, 0)],
+    'rollouts': [('engine', 'v2', 20.0, 5, 1, 0.5)],
+    'members': [('n3', 'dc1', '127.0.0.1:7', '127.0.0.1:8', True, 30)],
+    'crashes': [('u1', 1.0, ['print'])],
+    'pages': [(1, 1, 2, [('u1', 2, None)])],
+    'leavers': [('u1', 5)],
+}
+_WRONG = st.recursive(
+    st.none() | st.booleans() | st.integers(-2, 9) | st.text(max_size=2),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=2), inner, max_size=2)
+    ),
+    max_leaves=4,
+)
+
+
+@given(st.integers(0, 22), _WRONG)
+def test_a_field_of_another_form_ends_no_node(place, wrong):
+    """One malformed datagram used to end the whole process."""
+    parts = msgpack.unpackb(pack_news(_news(**_FULL_FIELDS)))
+    parts[place] = wrong
+    news = unpack_news(msgpack.packb(parts))
+    if news is not None:
+        take_news(_state(), news, read_boot_s())
+
+
+def test_a_datagram_that_is_no_message_is_noted_and_dropped():
+    state = _state()
+    exchange = NewsExchange()
+    take_datagram(state, exchange, b'\x93no')
+    take_datagram(state, exchange, pack_news(_news()))
+    assert 'news_rejected' in state.log.names()
+    assert 'n2' in state.members.by_id
+
+
 def test_messages_are_larger_the_more_they_tell_of():
     sizes = [line.value for line in run_news() if line.name.endswith('bytes')]
     assert sizes == sorted(sizes)
 
 
 def test_a_message_comes_out_as_it_went_in():
-    news = _news(running_by_id={'u1': 2}, sessions=[['s', 'v1', 0.5]])
+    news = _news(running_by_id={'u1': 2}, sessions=[('s', 'v1', 500)])
     assert unpack_news(pack_news(news)) == news
 
 
@@ -191,3 +240,18 @@
         take_news(state, news, read_boot_s())
     assert is_banned(state, 'bad')
     assert not is_banned(state, 'good')
+
+
+def test_a_leaver_is_told_to_nodes_that_start_later():
+    """The row of the leaver still says that it is ready."""
+    knowing = _state()
+    list_upstreams(knowing, make_upstream('u1', born_ms=7))
+    note_leaving(knowing.notices, 'u1', 7, read_boot_s())
+    told = describe_own(knowing, read_boot_s() + 60)['leavers']
+    starting = _state()
+    take_news(starting, _news(leavers=told), read_boot_s())
+    list_upstreams(starting, make_upstream('u1', born_ms=7))
+    need = Need('engine', 's1', '', '')
+    assert choose(starting, need, frozenset()) is None
+    list_upstreams(starting, make_upstream('u1', born_ms=8))
+    assert choose(starting, need, frozenset()) is not None
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -229,3 +229,23 @@
     nested = check_settings({**_SETTINGS, 'listen': {}}).error
     assert 'settings.listen.front' in str(nested[0])
     assert read_settings(str(tmp_path / 'none')).is_error()
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'is_leaving', 'retry_after_s'),
+    [
+        (200, [(b'server-leaving', b'1')], True, None),
+        (503, [(b'server-leaving', b'1')], True, None),
+        (503, [(b'retry-after', b'0.4')], False, 0.4),
+        (200, [(b'retry-after', b'2')], False, None),
+        (503, [(b'retry-after', b'soon')], False, None),
+        (503, [(b'retry-after', b'nan')], False, None),
+        (503, [(b'retry-after', b'inf')], False, None),
+    ],
+)
+def test_what_an_upstream_says_of_itself_is_read(
+    status, headers, is_leaving, retry_after_s
+):
+    head = decode_answer(status, headers)
+    assert head.is_leaving == is_leaving
+    assert head.retry_after_s == retry_after_s
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -137,11 +137,14 @@
 
 def _decode_answer(_status, headers):
     confidence = find_header(headers, b'confidence')
+    wait = find_header(headers, b'retry-after')
     return AnswerHead(
         request_id=find_header(headers, b'id'),
         is_signed=bool(find_header(headers, b'signed')),
         is_not_run=bool(find_header(headers, b'not-run')),
         confidence=float(confidence) if confidence else None,
+        is_leaving=bool(find_header(headers, b'leaving')),
+        retry_after_s=float(wait) if wait else None,
         headers=[
             pair
             for pair in headers
--- /dev/null
+++ b/tests/serving/test_notices.py
@@ -0,0 +1,93 @@
+"""Upstreams that leave or have no room, as their responses say."""
+
+import re
+
+import trio
+from turmericcrank_core.routing import CallKind
+
+from tests.router_builders import make_route, make_table
+from tests.router_fakes import (
+    make_node_state,
+    open_client,
+    read_until,
+    request_bytes,
+    start_upstreams,
+)
+from tests.upstream_fakes import answer_bytes
+
+_FULL = {'status': 503, 'signed': '', 'not_run': '1'}
+
+
+def _ask_in_turn(n_calls, *scripts, pause_s=0.0, kind=CallKind.idempotent):
+    """Send calls one after the other; give the answers and the upstreams."""
+
+    async def main():
+        state = make_node_state(make_table(make_route('bays', kind)))
+        answers = []
+        async with trio.open_nursery() as nursery:
+            fakes = await start_upstreams(nursery, state, *scripts)
+            for _number in range(n_calls):
+                client = await open_client(nursery, state)
+                await client.send_all(request_bytes('/bays/1'))
+                answers.append(await read_until(client, b'\r\n\r\n'))
+                await trio.sleep(pause_s)
+            nursery.cancel_scope.cancel()
+        return answers, [len(fake.requests) for fake in fakes], state
+
+    return trio.run(main)
+
+
+def test_an_upstream_that_says_it_leaves_gets_nothing_more():
+    """Replays a worker that is emptied before its row says so."""
+    leaving = [[answer_bytes(leaving='1')], [answer_bytes()]]
+    answers, n_requests, state = _ask_in_turn(2, leaving)
+    assert answers[0].startswith(b'HTTP/1.1 200')
+    assert answers[1].startswith(b'HTTP/1.1 503')
+    assert n_requests == [1]
+    assert 'upstream_leaving' in state.log.names()
+
+
+def test_the_others_take_the_calls_of_one_that_leaves():
+    answers, n_requests, _ = _ask_in_turn(
+        6,
+        [[answer_bytes(leaving='1')]] * 6,
+        [[answer_bytes()] for _ in range(6)],
+    )
+    assert all(answer.startswith(b'HTTP/1.1 200') for answer in answers)
+    assert n_requests[0] <= 1
+    assert sum(n_requests) == 6
+
+
+def test_a_refusal_may_say_that_the_upstream_leaves():
+    scripts = [[answer_bytes(**_FULL, leaving='1')]]
+    _, n_requests, _ = _ask_in_turn(3, scripts)
+    assert n_requests == [1]
+
+
+def test_an_upstream_without_room_is_left_alone_for_as_long_as_it_asked():
+    """Replays engines that are full: each further call is one too many."""
+    full = [[answer_bytes(**_FULL, retry_after='0.5')] for _ in range(9)]
+    answers, n_requests, _ = _ask_in_turn(4, full, pause_s=0.02)
+    assert n_requests == [1]
+    for answer in answers[1:]:
+        assert answer.startswith(b'HTTP/1.1 503')
+        told_s = float(re.search(rb'retry-after: ([\d.]+)', answer)[1])
+        assert 0.3 <= told_s <= 0.7
+
+
+def test_an_upstream_gets_calls_again_when_its_wait_is_over():
+    scripts = [[answer_bytes(**_FULL, retry_after='0.2')], [answer_bytes()]]
+    answers, n_requests, _ = _ask_in_turn(2, scripts, pause_s=0.3)
+    assert answers[1].startswith(b'HTTP/1.1 200')
+    assert n_requests == [2]
+
+
+def test_a_refusal_that_does_not_say_not_run_is_not_passed_on_as_one():
+    """A booking may have run there; 503 to the client would deny it."""
+    scripts = [[answer_bytes(b'busy', status=503)]]
+    answers, n_requests, _ = _ask_in_turn(
+        1, scripts, kind=CallKind.non_idempotent
+    )
+    assert answers[0].startswith(b'HTTP/1.1 502')
+    assert b'signed' not in answers[0]
+    assert n_requests == [1]
