Give the larger model to who has time, and let no malformed reply end a node

A reply of the store of another form raised in the task that reads, and ended the process (fuzzed replies: 5 of 6 forms did). Change: the part of the latency objective that is gone or likely to be decides; the threshold is 55. The confidence of each attempt is in the log.

--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -38,6 +38,7 @@
     revision_adopted = 400
     revision_accepted = 402
     revision_conflict = 403
+    row_rejected = 404
     bill_batch_written = 500
     bill_batch_failed = 501
     bill_batch_taken_over = 502
--- a/packages/core/src/turmericcrank_core/ladder.py
+++ b/packages/core/src/turmericcrank_core/ladder.py
@@ -2,10 +2,15 @@
 
 The smallest model answers first. When its own confidence in the answer is
 low, the answer may be dropped before the client has received any of it,
-and the largest model answers anew. That is worth it only while the larger
-answer is likely to come in time and its upstreams are not busy: a large
-model takes many times the work of a small one, and under load an answer in
-time to everyone is worth more than a better one to a few.
+and the largest model answers anew. A large model takes many times the work
+of a small one, and under load an answer in time to everyone is worth more
+than a better one to a few. The load that matters is the one that callers
+feel: the share of the latency objective that is gone, or likely to be, when
+the larger answer begins. A count of requests in progress cannot tell how
+many of them an engine bears.
+
+Load pattern: arrivals that rise above what the engines can read and write
+with the largest model, for seconds or for good, and fall again.
 """
 
 from dataclasses import dataclass, field
@@ -32,14 +37,14 @@
 
     Attributes:
         min_confidence: Lowest confidence, 0 to 100, of a kept answer while
-            the upstreams are idle.
-        idle_load: Load up to which the upstreams count as idle.
-        full_load: Load from which every answer is kept.
+            there is time.
+        idle_share: Share of the latency objective up to which there is time.
+        full_share: Share from which every answer is kept.
     """
 
-    min_confidence: float = 45
-    idle_load: float = 0.6
-    full_load: float = 1.2
+    min_confidence: float = 55
+    idle_share: float = 0.25
+    full_share: float = 0.7
 
 
 @dataclass(slots=True)
@@ -65,8 +70,6 @@
     Attributes:
         confidence: What the model thinks of its answer, 0 to 100; None if
             it does not say.
-        load: Requests in progress at the service's upstreams, as a share
-            of what keeps them busy.
         elapsed_s: Time since the request arrived, in seconds.
         larger_s: Time that the larger model is likely to need until its
             first event, in seconds.
@@ -74,7 +77,6 @@
     """
 
     confidence: float | None
-    load: float
     elapsed_s: float
     larger_s: float
     objective_s: float
@@ -125,11 +127,10 @@
         return None
     if ladder.step >= largest:
         return None
-    if doubt.elapsed_s + doubt.larger_s > doubt.objective_s:
-        return None
-    room = settings.full_load - doubt.load
-    share = room / (settings.full_load - settings.idle_load)
-    threshold = settings.min_confidence * max(0, min(1, share))
+    share = (doubt.elapsed_s + doubt.larger_s) / doubt.objective_s
+    room = settings.full_share - share
+    part = room / (settings.full_share - settings.idle_share)
+    threshold = settings.min_confidence * max(0, min(1, part))
     return largest if doubt.confidence < threshold else None
 
 
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -22,6 +22,7 @@
     'Conflict',
     'FeedPage',
     'HistoryLost',
+    'MalformedRowError',
     'NodeAddresses',
     'Platform',
     'RolloutRow',
@@ -176,6 +177,10 @@
     headers: Headers = field(default_factory=list)
 
 
+class MalformedRowError(ValueError):
+    """A row of the store that cannot be understood."""
+
+
 @dataclass(slots=True, frozen=True)
 class ChangedRow:
     """One row of a table of the store.
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -210,6 +210,7 @@
         return opened
     work.n_sent += 1
     progress.pace.head_s = trio.current_time() - sent_s
+    progress.pace.confidence = opened.head.confidence
     state.metrics.head_s.labels(upstream.service, upstream.version).observe(
         progress.pace.head_s
     )
@@ -294,6 +295,7 @@
         model=current_model(progress.ladder),
         outcome=type(outcome).__name__,
         head_s=round(pace.head_s, 3),
+        confidence=pace.confidence,
         events=pace.n_events,
         events_s=round(pace.last_s - pace.first_s, 3),
         pause_s=round(statistics.median(pace.pauses_s or [0]), 4),
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -37,7 +37,6 @@
     FaultKind,
     is_host_silent,
 )
-from turmericcrank_node.upstreams.candidates import service_load
 
 __all__ = ('Relay', 'relay_stream')
 
@@ -147,7 +146,6 @@
     # What the small model had to wait shows the queue of its engine.
     doubt = Doubt(
         confidence=relay.answering.head.confidence,
-        load=service_load(state, work.need.service),
         elapsed_s=trio.current_time() - work.call.request.arrived_s,
         larger_s=max(larger_s, relay.progress.pace.head_s),
         objective_s=work.route.objective_s,
@@ -159,7 +157,7 @@
             request=work.call.request_id,
             model=current_model(ladder),
             confidence=doubt.confidence,
-            load=round(doubt.load, 2),
+            elapsed_s=round(doubt.elapsed_s, 3),
             larger_s=round(doubt.larger_s, 3),
             left_s=round(time_left_s(work), 3),
         )
--- a/packages/node/src/turmericcrank_node/serving/stream_state.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_state.py
@@ -26,6 +26,7 @@
         first_s: When the first one came.
         last_s: When the last one came.
         head_s: Time from the sending to the head of the response.
+        confidence: What the model thinks of its answer; None if unsaid.
         pauses_s: Pauses between events.
     """
 
@@ -33,6 +34,7 @@
     first_s: float = 0
     last_s: float = 0
     head_s: float = 0
+    confidence: float | None = None
     pauses_s: list[float] = field(default_factory=list)
 
 
--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -37,6 +37,7 @@
     ChangedRow,
     FeedPage,
     HistoryLost,
+    MalformedRowError,
     StoreUnavailable,
 )
 from turmericcrank_node.state.node_state import (
@@ -245,10 +246,19 @@
 ) -> None:
     """Take the newest configuration and the roll-outs that were ordered."""
     for row in page.rows:
-        _take_table(state, row)
-        order = state.platform.decode_order(row)
-        if order is not None:
-            _take_order(state, order)
+        try:
+            _take_operators_row(state, row)
+        except MalformedRowError as error:
+            state.log.write(
+                EventCode.row_rejected, change=row.version, detail=str(error)
+            )
+
+
+def _take_operators_row(state: NodeState, row: ChangedRow) -> None:
+    _take_table(state, row)
+    order = state.platform.decode_order(row)
+    if order is not None:
+        _take_order(state, order)
 
 
 def _take_table(state: NodeState, row: ChangedRow) -> None:
--- a/packages/node/src/turmericcrank_node/upstreams/candidates.py
+++ b/packages/node/src/turmericcrank_node/upstreams/candidates.py
@@ -26,7 +26,6 @@
     'choose',
     'count_running',
     'find_rollout',
-    'service_load',
     'shortest_deferral_s',
 )
 
@@ -105,18 +104,6 @@
     return told + state.running_by_id.get(upstream_id, 0)
 
 
-def service_load(state: NodeState, service: str) -> float:
-    """Give the requests at a service, as a share of what keeps it busy."""
-    usable = list(_iter_open(state, service, read_boot_s()))
-    n_busy = sum(
-        min(upstream.slots, _SETTINGS.busy_running) for upstream in usable
-    )
-    n_running = sum(
-        count_running(state, upstream.upstream_id) for upstream in usable
-    )
-    return n_running / max(1, n_busy)
-
-
 def shortest_deferral_s(state: NodeState, service: str) -> float:
     """Give how long until an upstream that is left wants work again.
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -10,6 +10,7 @@
 from turmericcrank_core.routing import CallKind
 from turmericcrank_node.platform_port import (
     ChangedRow,
+    MalformedRowError,
     Sending,
 )
 from turmericcrank_node.serving.client_connection import ClientRequest
@@ -249,3 +250,21 @@
     head = decode_answer(status, headers)
     assert head.is_leaving == is_leaving
     assert head.retry_after_s == retry_after_s
+
+
+@pytest.mark.parametrize(
+    ('key', 'body'),
+    [
+        ('config', b'{'),
+        ('config', b'[]'),
+        ('config', b'{"version": 3}'),
+        ('config', b'{"version": 3, "routes": [{"name": 1}]}'),
+        ('rollout/s1', b'7'),
+        ('rollout/s1', b'{"service": "s1", "to": "v2", "duration-s": []}'),
+    ],
+)
+def test_a_row_that_cannot_be_understood_is_named(key, body):
+    row = ChangedRow(key, 3, body)
+    with pytest.raises(MalformedRowError, match=key):
+        decode_configuration(row)
+        decode_order(row)
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -197,3 +197,35 @@
         show_site(address[0])
     finally:
         thread.join()
+
+
+@pytest.mark.parametrize(
+    'body',
+    ['text', [], {}, {'rows': 5}, {'rows': [{'key': 3}], 'ver': 'x'}, None],
+)
+def test_a_malformed_reply_is_no_answer_and_ends_no_node(body):
+    """Each used to raise in the task that reads, and end the process."""
+    for read in (
+        lambda store: store.read_changes('op', 1, 0),
+        lambda store: store.read_table('op'),
+        lambda store: store.read_rollout('s1'),
+        lambda store: store.read_members(),
+        lambda store: store.write_member('n1', 'a:1'),
+    ):
+        outcome, _ = _call(read, (200, body))
+        assert isinstance(outcome, StoreUnavailable)
+
+
+def test_a_member_row_of_another_form_names_no_node():
+    members, _ = _call(
+        lambda store: store.read_members(),
+        (
+            200,
+            _page(
+                _stored('n1', 3, {'address': '10.0.0.1:1'}),
+                _stored('n2', 4, {'address': 7}),
+                _stored('n3', 5, 'x'),
+            ),
+        ),
+    )
+    assert members == {'n1': '10.0.0.1:1'}
