Let few nodes call the store when all see the same

Cause: in an outage each node read both tables once a second and tried a due step of a roll-out three times a second; at 195 nodes that is about 390 and 650 calls a second, each of them priced though refused. Each node wrote itself into the list of nodes. Ruled out: sharing failures in the news (more messages for the same end). Change: core/store_turns plans pauses by rank and by whether the cell reads for all; the pause is a moment that a known change cuts short, no sleep; two nodes of each cell list themselves, and who hears nobody. Conclusion: the calls in an outage grow with the cells, not with the nodes.

--- a/packages/node/src/turmericcrank_node/control/rollout_control.py
+++ b/packages/node/src/turmericcrank_node/control/rollout_control.py
@@ -16,6 +16,10 @@
     merge_state,
     plan_phase,
 )
+from turmericcrank_core.store_turns import (
+    plan_step_delay_s,
+    plan_step_pause_s,
+)
 
 from turmericcrank_node.control.version_evidence import (
     count_answers,
@@ -31,9 +35,6 @@
 __all__ = ('serve_rollouts',)
 
 _PACE_S = 0.1
-_RETRY_S = 0.3
-_RANK_DELAY_S = 0.15
-_MAX_DELAY_RANK = 4
 _MS = 1000
 
 
@@ -84,14 +85,21 @@
     if wish is None or wish.phase is not planned:
         wish = _Wish(planned, now_s)
         control.wishes_by_service[order.service] = wish
-    rank = plan_rank(state.members, state.settings.node_id, now_s)
-    delay_s = _RANK_DELAY_S * min(rank, _MAX_DELAY_RANK)
     tried_s = control.tried_s_by_service.get(order.service, 0)
-    if now_s - wish.since_s >= delay_s and now_s - tried_s >= _RETRY_S:
+    if _is_turn(state, now_s - wish.since_s, now_s - tried_s):
         control.tried_s_by_service[order.service] = now_s
         await _move(state, rollout, planned, fault)
 
 
+def _is_turn(state: NodeState, due_for_s: float, tried_ago_s: float) -> bool:
+    """Tell whether this node tries to write a step that is due."""
+    rank = plan_rank(state.members, state.settings.node_id, read_boot_s())
+    is_first = state.mesh.is_first
+    if due_for_s < plan_step_delay_s(rank, is_first):
+        return False
+    return tried_ago_s >= plan_step_pause_s(rank, is_first)
+
+
 def _find_sign(state: NodeState, rollout: RolloutState) -> str:
     """Name why a version is bad; once it is, it stays so."""
     order = rollout.order
--- a/packages/node/src/turmericcrank_node/membership/peer_news.py
+++ b/packages/node/src/turmericcrank_node/membership/peer_news.py
@@ -9,8 +9,9 @@
 
 import trio
 from turmericcrank_core.event_codes import EventCode
-from turmericcrank_core.membership import iter_heard
+from turmericcrank_core.membership import iter_heard, plan_rank
 from turmericcrank_core.network_address import split_address
+from turmericcrank_core.store_turns import is_listing_itself
 
 from turmericcrank_node.membership.news_exchange import (
     NewsExchange,
@@ -60,15 +61,22 @@
 async def _join(state: NodeState, exchange: NewsExchange, sock: Any) -> None:
     """Find the other nodes: by the seeds, and by the store's list."""
     is_listed = False
+    for address in _list_silent_seeds(state):
+        await _greet(state, exchange, sock, address)
+    # Who is alone, and who has the lowest rank, is not known before.
+    await trio.sleep(_JOIN_PAUSE_S)
     while True:
         for address in _list_silent_seeds(state):
             await _greet(state, exchange, sock, address)
-        if not is_listed:
+        now_s = read_boot_s()
+        is_alone = not any(iter_heard(state.members, now_s))
+        rank = plan_rank(state.members, state.settings.node_id, now_s)
+        if not is_listed and is_listing_itself(rank, is_alone):
             written = await state.platform.store.write_member(
                 state.settings.node_id, state.settings.addresses.peer
             )
             is_listed = not isinstance(written, StoreUnavailable)
-        if not any(iter_heard(state.members, read_boot_s())):
+        if is_alone:
             await _greet_listed(state, exchange, sock)
             await trio.sleep(_LOST_MEMBERS_S - _JOIN_PAUSE_S)
         await trio.sleep(_JOIN_PAUSE_S)
--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -24,6 +24,7 @@
     RolloutPhase,
     RolloutState,
 )
+from turmericcrank_core.store_turns import plan_fault_pause_s
 from turmericcrank_core.upstream_notices import expire_notices
 from turmericcrank_core.upstream_rows import (
     expire_lapsed,
@@ -51,8 +52,7 @@
 _WAIT_S = 0.7
 _LOOK_PAUSE_S = 0.15
 _LEAST_PAUSE_S = 0.02
-_FAULT_PAUSE_S = 0.25
-_LONG_FAULT_PAUSE_S = 1
+_BEHIND_PAUSE_S = 0.25
 _MS = 1000
 _HAND_OVER_S = 0.15
 _KEEP_PAGE_S = 1.8
@@ -73,6 +73,7 @@
         apply: Takes a page of rows; told whether the page is complete.
         is_lost: Whether the last reading failed.
         behind_since_s: Since when a peer is known to know more.
+        retry_s: After a reading that failed, when the next one may start.
     """
 
     table: str
@@ -81,6 +82,7 @@
     apply: ApplyRows
     is_lost: bool = False
     behind_since_s: float | None = None
+    retry_s: float = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -146,11 +148,13 @@
     rank = plan_rank(state.members, state.settings.node_id, now_s)
     rank = max(rank, int(is_settling))
     if _is_behind_for_long(watch, now_s):
-        return _Turn(0, 0)
+        # A peer has reached the store since, so this node need not wait long.
+        return _Turn(min(_BEHIND_PAUSE_S, watch.retry_s - now_s), 0)
     cadence = _plan_cadence(state)
     due_age_s = plan_read_age_s(rank, state.mesh.is_first) * cadence
     wait_s = 0 if due_age_s else _WAIT_S * cadence
-    return _Turn(due_age_s - proof_age_s(watch.proof, now_s), wait_s)
+    due_s = due_age_s - proof_age_s(watch.proof, now_s)
+    return _Turn(max(due_s, watch.retry_s - now_s), wait_s)
 
 
 def _plan_cadence(state: NodeState) -> float:
@@ -204,7 +208,6 @@
         return
     if isinstance(outcome, StoreUnavailable):
         _note_lost(state, watch, outcome.reason)
-        await trio.sleep(_plan_fault_pause_s(state))
         return
     _note_found(state, watch)
     state.store_offset_s = outcome.now_ms / _MS - read_boot_s()
@@ -223,13 +226,10 @@
         state.want_news()
 
 
-def _plan_fault_pause_s(state: NodeState) -> float:
-    """Plan the pause after a failed call; those of low rank ask first."""
-    rank = plan_rank(state.members, state.settings.node_id, read_boot_s())
-    return _FAULT_PAUSE_S if rank == 0 else _LONG_FAULT_PAUSE_S
-
-
 def _note_lost(state: NodeState, watch: TableWatch, reason: str) -> None:
+    now_s = read_boot_s()
+    rank = plan_rank(state.members, state.settings.node_id, now_s)
+    watch.retry_s = now_s + plan_fault_pause_s(rank, state.mesh.is_first)
     if not watch.is_lost:
         watch.is_lost = True
         state.log.write(EventCode.store_lost, table=watch.table, detail=reason)
--- /dev/null
+++ b/tests/core/test_store_turns.py
@@ -0,0 +1,65 @@
+"""Calls of many nodes to the store when all see the same at once."""
+
+import pytest
+from turmericcrank_core.proofs import plan_read_age_s
+from turmericcrank_core.store_turns import (
+    is_listing_itself,
+    plan_fault_pause_s,
+    plan_step_delay_s,
+    plan_step_pause_s,
+)
+
+_CELL_NODES = 16
+_READS_PER_S = 2000
+
+
+def _iter_nodes(n_nodes):
+    """Yield rank and whether the cell reads for all, node by node."""
+    for number in range(n_nodes):
+        yield number % _CELL_NODES, number < _CELL_NODES
+
+
+def _count_calls(first_s, pause_s, outage_s):
+    if first_s > outage_s:
+        return 0
+    return 1 + int((outage_s - first_s) / pause_s)
+
+
+@pytest.mark.parametrize('n_nodes', [65, 195, 490])
+def test_an_outage_seen_by_all_nodes_costs_few_calls(n_nodes):
+    """Replays a store that is away for ten seconds, two tables a node."""
+    n_calls = 2 * sum(
+        _count_calls(plan_read_age_s(*node), plan_fault_pause_s(*node), 10)
+        for node in _iter_nodes(n_nodes)
+    )
+    assert n_calls / 10 < 0.1 * _READS_PER_S
+    assert n_calls < 2 * (2 * n_nodes + 10 / 0.25 * 4)
+
+
+@pytest.mark.parametrize('n_nodes', [65, 195, 490])
+def test_a_step_that_no_node_can_write_costs_few_calls(n_nodes):
+    """Replays a roll-out that is due while the store is away."""
+    n_calls = sum(
+        _count_calls(plan_step_delay_s(*node), plan_step_pause_s(*node), 10)
+        for node in _iter_nodes(n_nodes)
+    )
+    assert n_calls < 2 * n_nodes + 10 / 0.3 * 4
+
+
+def test_the_return_of_the_store_is_seen_soon():
+    pauses_s = [plan_fault_pause_s(rank, True) for rank in range(_CELL_NODES)]
+    assert pauses_s[0] <= 0.25
+    assert sum(1 / pause_s for pause_s in pauses_s) > 8
+
+
+def test_one_node_after_the_other_tries_a_step():
+    delays_s = [plan_step_delay_s(*node) for node in _iter_nodes(32)]
+    assert delays_s[0] == 0
+    assert len(set(delays_s[:_CELL_NODES])) == _CELL_NODES
+    assert min(delays_s[_CELL_NODES:]) >= 1.9
+
+
+def test_a_few_nodes_of_each_cell_list_themselves_and_who_is_alone():
+    listed = [is_listing_itself(rank, False) for rank in range(16)]
+    assert sum(listed) == 2
+    assert is_listing_itself(9, True)
