Count retries in a sliding window, and keep a doubted answer that nothing follows

A node's part of the site's retries was a bucket of slack/n tokens (1.4 at 23 nodes): it forgot what calm seconds had earned, larger models spent from it too, and an answer that its model doubted was dropped before anyone had asked whether a retry was left; then the client got 502 for a ready answer. Change: core/retry_windows counts first attempts and retries of the last seconds (budget-window-s); the sum over nodes keeps to ratio and slack by construction. A larger model is asked only if one more retry stays. Conclusion: a ready answer is never given up for lack of a retry.

--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -65,6 +65,7 @@
         keep_s: Longest time for which clients may keep an address.
         retry_ratio: Retries allowed for each first attempt, over all nodes.
         retry_slack: Retries allowed beyond that, over all nodes.
+        retry_window_s: Time over which these are counted.
         exposure_share: Largest share of a service's requests that a version
             may get before its roll-out has to be done.
         exposure_slack: Requests that it may get beyond that share.
@@ -78,6 +79,7 @@
     keep_s: float = 5
     retry_ratio: float = 0.5
     retry_slack: float = 50
+    retry_window_s: float = 10
     exposure_share: float = 0.15
     exposure_slack: float = 0
 
--- a/packages/node/src/turmericcrank_node/serving/router.py
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -4,7 +4,7 @@
 from turmericcrank_core.codes import ResultCode
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.proofs import proof_age_s
-from turmericcrank_core.retries import earn_retry
+from turmericcrank_core.retry_windows import note_first_attempt
 from turmericcrank_core.routing import (
     CallKind,
     ForwardRoute,
@@ -22,7 +22,11 @@
 )
 from turmericcrank_node.serving.plain_call import answer_plain_call
 from turmericcrank_node.serving.stream_call import answer_stream_call
-from turmericcrank_node.serving.work import Work, refuse
+from turmericcrank_node.serving.work import (
+    Work,
+    find_retry_window,
+    refuse,
+)
 from turmericcrank_node.state.node_state import NodeState, read_boot_s
 from turmericcrank_node.upstreams.candidates import Need
 from turmericcrank_node.upstreams.crash_watch import (
@@ -159,9 +163,8 @@
             reason=f'fingerprint {work.fingerprint}',
         )
         return
-    budget = state.budgets_by_service.get(work.need.service)
-    if budget is not None:
-        earn_retry(budget)
+    window = find_retry_window(state, work.need.service)
+    note_first_attempt(window, read_boot_s())
     seconds = state.metrics.request_s
     try:
         if work.route.kind is CallKind.stream:
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -29,7 +29,12 @@
     StreamOutcome,
     StreamProgress,
 )
-from turmericcrank_node.serving.work import Work, may_follow, time_left_s
+from turmericcrank_node.serving.work import (
+    Work,
+    may_follow,
+    may_retry,
+    time_left_s,
+)
 from turmericcrank_node.state.node_state import NodeState, read_boot_s
 from turmericcrank_node.upstreams.attempt import (
     Answering,
@@ -42,6 +47,7 @@
 
 _LOOK_S = 0.8
 _MAX_PAUSE_S = 3.2
+_SPARED_RETRIES = 1
 _MAX_EVENT_BYTES = 0x100000
 _MAX_FAILURE_BYTES = 0x1000000
 _LADDER = LadderSettings()
@@ -138,6 +144,9 @@
     work = relay.work
     if relay.exchange.is_started or not may_follow(work):
         return None
+    if not may_retry(state, work.need.service, _SPARED_RETRIES):
+        # The answer at hand is better than none.
+        return None
     ladder = relay.progress.ladder
     largest = ladder.models[-1] if ladder.models else ''
     larger_s = forecast_s(
--- a/packages/node/src/turmericcrank_node/serving/work.py
+++ b/packages/node/src/turmericcrank_node/serving/work.py
@@ -8,7 +8,12 @@
 from turmericcrank_core.exposure import judge_speed
 from turmericcrank_core.membership import iter_heard
 from turmericcrank_core.outcomes import note_outcome, rest_upstream
-from turmericcrank_core.retries import RetryBudget, spend_retry
+from turmericcrank_core.retry_windows import (
+    RetryLimits,
+    RetryWindow,
+    count_retries_left,
+    note_retry,
+)
 from turmericcrank_core.routing import ForwardRoute, Team
 from turmericcrank_core.upstream_rows import ListedUpstream
 from turmericcrank_core.version_choice import note_session
@@ -38,10 +43,12 @@
     'Work',
     'begin_attempt',
     'end_attempt',
+    'find_retry_window',
     'is_slow_answer',
     'judge_attempt',
     'look_after_fault',
     'may_follow',
+    'may_retry',
     'may_send',
     'refuse',
     'refuse_fault',
@@ -244,25 +251,40 @@
     """
     if time_left_s(work) <= 0:
         return False
-    return n_before == 0 or _spend_retry(state, work)
+    if n_before == 0:
+        return True
+    if not may_retry(state, work.need.service):
+        return False
+    note_retry(find_retry_window(state, work.need.service), read_boot_s())
+    return True
+
 
+def may_retry(state: NodeState, service: str, n_spared: int = 0) -> bool:
+    """Tell whether a retry may start, and how many more after it.
 
-def _spend_retry(state: NodeState, work: Work) -> bool:
-    """Take a retry from the budget of the service.
+    The retries that the site allows beyond its first attempts are shared by
+    the nodes that hear each other; a node alone still has one.
 
-    The retries that the site allows at once are shared by the nodes that
-    hear each other; a node alone still has one.
+    Args:
+        state: The node.
+        service: Service that gets the retry.
+        n_spared: Retries that must be left after it.
     """
+    now_s = read_boot_s()
     bounds = state.settings.bounds
-    n_nodes = 1 + sum(1 for _ in iter_heard(state.members, read_boot_s()))
-    most = max(1, bounds.retry_slack / n_nodes)
-    budget = state.budgets_by_service.get(work.need.service)
-    if budget is None:
-        budget = RetryBudget(bounds.retry_ratio, most, most)
-        state.budgets_by_service[work.need.service] = budget
-    budget.max_tokens = most
-    budget.tokens = min(budget.tokens, most)
-    return spend_retry(budget)
+    n_nodes = 1 + sum(1 for _ in iter_heard(state.members, now_s))
+    limits = RetryLimits(
+        bounds.retry_ratio,
+        max(1, bounds.retry_slack / n_nodes),
+        bounds.retry_window_s,
+    )
+    window = find_retry_window(state, service)
+    return count_retries_left(window, limits, now_s) >= 1 + n_spared
+
+
+def find_retry_window(state: NodeState, service: str) -> RetryWindow:
+    """Find the attempts of the last seconds at a service."""
+    return state.retries_by_service.setdefault(service, RetryWindow())
 
 
 async def refuse_fault(
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -11,7 +11,7 @@
 from turmericcrank_core.mesh import MeshPlan
 from turmericcrank_core.outcomes import OutcomeBook
 from turmericcrank_core.proofs import TableProof, proof_age_s
-from turmericcrank_core.retries import RetryBudget
+from turmericcrank_core.retry_windows import RetryWindow
 from turmericcrank_core.rollout_phases import RolloutState
 from turmericcrank_core.routing import ClientLimits, RouteTable
 from turmericcrank_core.suspects import CrashRecord, SuspectBook
@@ -112,7 +112,7 @@
     )
     suspects: SuspectBook = field(default_factory=SuspectBook)
     recent_crashes: list[CrashRecord] = field(default_factory=list)
-    budgets_by_service: dict[str, RetryBudget] = field(default_factory=dict)
+    retries_by_service: dict[str, RetryWindow] = field(default_factory=dict)
     # Changed by rollout_control.
     rollouts_by_service: dict[str, RolloutState] = field(default_factory=dict)
     signs_by_order: dict[tuple[str, int], str] = field(default_factory=dict)
--- /dev/null
+++ b/tests/core/test_retry_windows.py
@@ -0,0 +1,69 @@
+"""Retries of one node in a sliding window."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from turmericcrank_core.retries import RetryBudget, earn_retry, spend_retry
+from turmericcrank_core.retry_windows import (
+    RetryLimits,
+    RetryWindow,
+    count_retries_left,
+    note_first_attempt,
+    note_retry,
+)
+
+_LIMITS = RetryLimits(ratio=0.6, slack=2, window_s=10)
+
+
+def _play(attempts):
+    """Start each retry that is allowed; give the moments of all starts."""
+    window = RetryWindow()
+    firsts, retries = [], []
+    for at_s, is_retry in sorted(attempts):
+        if not is_retry:
+            note_first_attempt(window, at_s)
+            firsts.append(at_s)
+        elif count_retries_left(window, _LIMITS, at_s) >= 1:
+            note_retry(window, at_s)
+            retries.append(at_s)
+    return firsts, retries
+
+
+_ATTEMPTS = st.lists(st.tuples(st.floats(0, 40), st.booleans()), max_size=120)
+
+
+@given(_ATTEMPTS)
+def test_no_window_holds_more_retries_than_its_first_attempts_allow(attempts):
+    firsts, retries = _play(attempts)
+    for end_s in retries:
+        begin_s = end_s - _LIMITS.window_s
+        n_retries = sum(begin_s < at_s <= end_s for at_s in retries)
+        n_firsts = sum(begin_s < at_s <= end_s for at_s in firsts)
+        assert n_retries <= _LIMITS.slack + _LIMITS.ratio * n_firsts
+
+
+def _spend_on_a_crash(spend, earn):
+    """Replays a crash: ten calm seconds of one request, then six at once."""
+    for second in range(10):
+        earn(second)
+    return sum(spend(10) for _ in range(6))
+
+
+def test_what_calm_seconds_have_earned_serves_a_burst():
+    """A bucket of two tokens had forgotten it."""
+    window = RetryWindow()
+
+    def spend(now_s):
+        if count_retries_left(window, _LIMITS, now_s) < 1:
+            return False
+        note_retry(window, now_s)
+        return True
+
+    n_spent = _spend_on_a_crash(
+        spend, lambda now_s: note_first_attempt(window, now_s)
+    )
+    assert n_spent == 6
+    bucket = RetryBudget(_LIMITS.ratio, _LIMITS.slack, _LIMITS.slack)
+    before = _spend_on_a_crash(
+        lambda _: spend_retry(bucket), lambda _: earn_retry(bucket)
+    )
+    assert before == 2
--- a/tests/serving/test_stream_calls.py
+++ b/tests/serving/test_stream_calls.py
@@ -1,6 +1,7 @@
 """Streams: whole events, resumed once, never joined or cut unseen."""
 
 import re
+from dataclasses import replace
 
 import trio
 
@@ -116,6 +117,29 @@
     assert seen.endswith(b'0\r\n\r\n')
 
 
+def test_a_doubted_answer_is_kept_when_no_retry_is_left():
+    """Replays the grown and large sites: it was dropped, and 502 given."""
+
+    async def main():
+        state = make_node_state(make_table(make_route(models=_MODELS)))
+        bounds = replace(state.settings.bounds, retry_slack=1, retry_ratio=0)
+        state.settings = replace(state.settings, bounds=bounds)
+        async with trio.open_nursery() as nursery:
+            scripts = [_whole(1, confidence=5) for _ in range(4)]
+            await start_upstreams(nursery, state, scripts)
+            answers = []
+            for _ in range(2):
+                client = await open_client(nursery, state)
+                await client.send_all(request_bytes())
+                answers.append(await read_until(client, END_CHUNK))
+            nursery.cancel_scope.cancel()
+        return answers
+
+    for answer in trio.run(main):
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert answer.endswith(END_CHUNK)
+
+
 def test_a_trusted_answer_is_kept():
     _, requests, _ = _ask([_whole(1, confidence=90)], models=_MODELS)
     assert [request['model'] for request in requests] == ['small']
