Pack what a cell knows once, and pass it on as it is

Names and addresses of all nodes go round in digests of 2 kB each. Ruled out: rarer digests (what other cells know would be older than 2.4 s); rows of changes only (more state, and the same bytes in the first seconds). Change: a digest carries one compressed blob, made once, passed on unchanged and unpacked only where it is news.

--- a/packages/node/src/turmericcrank_node/membership/news_taking.py
+++ b/packages/node/src/turmericcrank_node/membership/news_taking.py
@@ -33,6 +33,7 @@
     NodeNews,
     PageRow,
     RolloutRow,
+    unpack_knowledge,
     unpack_rows,
 )
 from turmericcrank_node.platform_port import ChangedRow, FeedPage
@@ -151,15 +152,19 @@
     is_older = held is not None and held.made_s >= made_s
     if digest.cell == state.mesh.cell or is_older:
         return
+    knowledge = unpack_knowledge(digest.packed)
+    if knowledge is None:
+        state.log.write(EventCode.news_rejected, n_bytes=len(digest.packed))
+        return
     must_pass_on = news.cell == digest.cell
     state.digests_by_cell[digest.cell] = HeldDigest(
         digest, made_s, must_pass_on
     )
-    note_loads(state.told_loads, digest.cell, digest.running_by_id)
-    for row in digest.members:
+    note_loads(state.told_loads, digest.cell, knowledge.running_by_id)
+    for row in knowledge.members:
         _take_member(state, row, made_s)
     told_by_key = state.evidence.told_by_cell.setdefault(digest.cell, {})
-    counts_by_key = dict(_iter_evidence(digest.evidence))
+    counts_by_key = dict(_iter_evidence(knowledge.evidence))
     note_told_evidence(state, told_by_key, counts_by_key, now_s)
 
 
--- a/packages/node/src/turmericcrank_node/membership/news_writing.py
+++ b/packages/node/src/turmericcrank_node/membership/news_writing.py
@@ -20,7 +20,11 @@
     iter_cell_evidence,
     iter_own_evidence,
 )
-from turmericcrank_node.membership.node_news import CellDigest
+from turmericcrank_node.membership.node_news import (
+    CellDigest,
+    CellKnowledge,
+    pack_knowledge,
+)
 from turmericcrank_node.state.evidence_book import EvidenceCounts
 from turmericcrank_node.state.node_state import (
     NodeState,
@@ -143,7 +147,8 @@
         for key, counts in iter_cell_evidence(state, now_s - _REPEAT_S * 2)
     ]
     running_by_id = _sum_running(state, mate_ids)
-    return CellDigest(state.mesh.cell, 0, members, running_by_id, evidence)
+    knowledge = CellKnowledge(members, running_by_id, evidence)
+    return CellDigest(state.mesh.cell, 0, pack_knowledge(knowledge))
 
 
 def _sum_running(state: NodeState, mate_ids: set[str]) -> dict[str, int]:
--- a/packages/node/src/turmericcrank_node/membership/node_news.py
+++ b/packages/node/src/turmericcrank_node/membership/node_news.py
@@ -7,13 +7,14 @@
 """
 
 import zlib
-from typing import Annotated
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 from msgspec import Meta
 
 __all__ = (
     'CellDigest',
+    'CellKnowledge',
     'CrashRow',
     'EvidenceRow',
     'MemberRow',
@@ -21,15 +22,17 @@
     'PageRow',
     'RolloutRow',
     'StoreRow',
+    'pack_knowledge',
     'pack_news',
     'pack_rows',
+    'unpack_knowledge',
     'unpack_news',
     'unpack_rows',
 )
 
-_FORMAT = 4
+_FORMAT = 5
 _FAST = 1
-_MAX_ROWS_BYTES = 0x100000
+_MAX_EXPANDED_BYTES = 0x100000
 _LAST_TABLE = 1
 _LAST_PHASE = 4
 
@@ -45,24 +48,36 @@
 RolloutRow = tuple[str, str, float, int, _PhaseNumber, float]
 
 
-class CellDigest(msgspec.Struct, array_like=True, frozen=True):
-    """What one cell tells another, made by one node of it.
+class CellKnowledge(msgspec.Struct, array_like=True, frozen=True):
+    """What one cell knows together.
 
     Attributes:
-        cell: Name of the cell.
-        age_s: Time since it was made, in seconds.
         members: Nodes of the cell, as in a message.
         running_by_id: Requests in progress from the cell, by upstream.
         evidence: Version key, upstream and counts, summed over the cell.
     """
 
-    cell: str
-    age_s: float
     members: list[MemberRow]
     running_by_id: dict[str, _Count]
     evidence: list[EvidenceRow]
 
 
+class CellDigest(msgspec.Struct, array_like=True, frozen=True):
+    """What one cell tells another, made by one node of it.
+
+    It is packed once and passed on as it is.
+
+    Attributes:
+        cell: Name of the cell.
+        age_s: Time since it was made, in seconds.
+        packed: What the cell knows, packed.
+    """
+
+    cell: str
+    age_s: float
+    packed: bytes
+
+
 class NodeNews(msgspec.Struct, array_like=True, frozen=True):
     """What one node tells another.
 
@@ -129,6 +144,8 @@
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(NodeNews)
 _ROWS_DECODER = msgspec.msgpack.Decoder(_StoreRows)
+_KNOWLEDGE_DECODER = msgspec.msgpack.Decoder(CellKnowledge)
+_Told = TypeVar('_Told')
 
 
 def pack_news(news: NodeNews) -> bytes:
@@ -146,14 +163,34 @@
 
 def pack_rows(rows: list[StoreRow]) -> bytes:
     """Pack rows of the store; names repeat in them, so they are compressed."""
-    return zlib.compress(_ENCODER.encode(rows), _FAST)
+    return _compress(rows)
 
 
 def unpack_rows(raw: bytes) -> list[StoreRow]:
     """Unpack rows; none when the bytes are no rows, or far too many."""
+    return _expand(raw, _ROWS_DECODER) or []
+
+
+def pack_knowledge(knowledge: CellKnowledge) -> bytes:
+    """Pack what a cell knows."""
+    return _compress(knowledge)
+
+
+def unpack_knowledge(raw: bytes) -> CellKnowledge | None:
+    """Unpack what a cell knows; None when the bytes are of another form."""
+    return _expand(raw, _KNOWLEDGE_DECODER)
+
+
+def _compress(told: Any) -> bytes:
+    return zlib.compress(_ENCODER.encode(told), _FAST)
+
+
+def _expand(
+    raw: bytes, decoder: msgspec.msgpack.Decoder[_Told]
+) -> _Told | None:
     unpacker = zlib.decompressobj()
     try:
-        packed = unpacker.decompress(raw, _MAX_ROWS_BYTES)
-        return _ROWS_DECODER.decode(packed) if unpacker.eof else []
+        packed = unpacker.decompress(raw, _MAX_EXPANDED_BYTES)
+        return decoder.decode(packed) if unpacker.eof else None
     except (ValueError, RecursionError, zlib.error):
-        return []
+        return None
