Let a node that knows of a change read again soon after a failure

Ruled out: the news (the peers had the change, so the node knew of it). Change: the 0.25 s count from the failure. The new test fails on the code before: the turn is never due.

--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -48,7 +48,13 @@
     read_boot_s,
 )
 
-__all__ = ('apply_configuration', 'apply_upstreams', 'serve_table_watch')
+__all__ = (
+    'TableWatch',
+    'apply_configuration',
+    'apply_upstreams',
+    'plan_turn',
+    'serve_table_watch',
+)
 
 _WAIT_S = 0.7
 _LOOK_PAUSE_S = 0.15
@@ -74,7 +80,8 @@
         apply: Takes a page of rows; told whether the page is complete.
         is_lost: Whether the last reading failed.
         behind_since_s: Since when a peer is known to know more.
-        retry_s: After a reading that failed, when the next one may start.
+        failed_s: When a reading failed last.
+        retry_s: After that, when the next one may start.
     """
 
     table: str
@@ -83,6 +90,7 @@
     apply: ApplyRows
     is_lost: bool = False
     behind_since_s: float | None = None
+    failed_s: float = 0
     retry_s: float = 0
 
 
@@ -133,7 +141,7 @@
     while True:
         now_s = read_boot_s()
         is_settling = now_s - started_s < _SETTLING_S
-        turn = _plan_turn(state, watch, now_s, is_settling)
+        turn = plan_turn(state, watch, now_s, is_settling)
         if turn.due_s <= 0:
             await _read_once(state, watch, turn)
         else:
@@ -141,7 +149,7 @@
             await trio.sleep(min(_LOOK_PAUSE_S, pause_s))
 
 
-def _plan_turn(
+def plan_turn(
     state: NodeState, watch: TableWatch, now_s: float, is_settling: bool
 ) -> _Turn:
     """Plan when this node reads next.
@@ -152,8 +160,7 @@
     rank = max(rank, int(is_settling))
     if _is_behind_for_long(watch, now_s):
         # A peer has reached the store since, so this node need not wait long.
-        due_s = min(_BEHIND_PAUSE_S, watch.retry_s - now_s)
-        return _Turn(due_s, 'behind')
+        return _Turn(watch.failed_s + _BEHIND_PAUSE_S - now_s, 'behind')
     bounds = state.settings.bounds
     cadence = plan_cadence(bounds.apply_s, bounds.drain_s, bounds.revoke_s)
     due_age_s = plan_read_age_s(rank, state.mesh.is_first) * cadence
@@ -235,6 +242,7 @@
 def _note_lost(state: NodeState, watch: TableWatch, reason: str) -> None:
     now_s = read_boot_s()
     rank = plan_rank(state.members, state.settings.node_id, now_s)
+    watch.failed_s = now_s
     watch.retry_s = now_s + plan_fault_pause_s(
         rank, state.mesh.is_first, proof_age_s(watch.proof, now_s)
     )
--- a/tests/membership/test_news.py
+++ b/tests/membership/test_news.py
@@ -28,7 +28,12 @@
 from turmericcrank_node.membership.peer_news import take_datagram
 from turmericcrank_node.platform_port import ChangedRow, FeedPage
 from turmericcrank_node.state.node_state import make_read_page, read_boot_s
-from turmericcrank_node.state.table_watch import keep_page
+from turmericcrank_node.state.table_watch import (
+    TableWatch,
+    apply_configuration,
+    keep_page,
+    plan_turn,
+)
 from turmericcrank_node.upstreams.candidates import (
     Need,
     choose,
@@ -284,3 +289,19 @@
     told = describe_own(state, read_boot_s())['pages'][0]
     assert unpack_rows(told[3]) == [('config', 2, body)]
     assert len(told[3]) < len(body) / 3
+
+
+def test_a_reading_that_failed_delays_a_known_change_only_a_moment():
+    """Replays trouble-3 of the grown Vembanad: 5.6 s behind a configuration."""
+    state = _state()
+    proof = state.configuration_proof
+    watch = TableWatch('configuration', 0, proof, apply_configuration)
+    now_s = read_boot_s()
+    watch.failed_s = now_s
+    watch.retry_s = now_s + 12
+    proof.told_change = proof.read_version + 5
+    plan_turn(state, watch, now_s, is_settling=False)
+    assert plan_turn(state, watch, now_s + 0.2, is_settling=False).due_s > 0
+    turn = plan_turn(state, watch, now_s + 0.3, is_settling=False)
+    assert turn.due_s <= 0
+    assert turn.reason == 'behind'
