Tell a silent host from a long pause, and how a client went away

Change: reasons 'host silent' and 'no event in time', departure of clients in request_cancelled and stream_broken, metric turmericcrank_news_sent_bytes_total. No decision changes. A fake upstream can fall silent as a lost host does. Test: test_a_silent_host_and_a_long_pause_are_told_apart_in_the_log.

--- a/packages/node/src/turmericcrank_node/membership/peer_news.py
+++ b/packages/node/src/turmericcrank_node/membership/peer_news.py
@@ -123,6 +123,8 @@
         await sock.sendto(raw, split_address(address))
     except OSError as error:
         state.log.write(EventCode.news_not_sent, detail=repr(error))
+    else:
+        state.metrics.news_bytes.inc(len(raw))
 
 
 async def _receive(state: NodeState, exchange: NewsExchange, sock: Any) -> None:
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -1,5 +1,6 @@
 """Serves one connection of a client: requests come in, answers go out."""
 
+import errno
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -55,6 +56,8 @@
         is_started: Whether the head of the answer has been sent.
         is_whole: Whether the answer has been sent to its end.
         status: Status of the answer; 0 before its head is sent.
+        departure: How the client went away, as ``closed`` or the name of an
+            error number; empty while it is there.
     """
 
     stream: trio.SocketStream
@@ -63,6 +66,7 @@
     is_started: bool = False
     is_whole: bool = False
     status: int = 0
+    departure: str = ''
 
     async def start(
         self, status: int, headers: Headers, first: bytes = b''
@@ -110,11 +114,19 @@
             return True
         try:
             await self.stream.send_all(raw)
-        except _BROKEN:
+        except _BROKEN as error:
+            self.departure = _name_break(error)
             return False
         return True
 
 
+def _name_break(error: Exception) -> str:
+    """Name the error number that has ended a connection."""
+    cause = error.__cause__ or error
+    number = getattr(cause, 'errno', None)
+    return errno.errorcode.get(number, type(cause).__name__)
+
+
 AnswerRequest = Callable[[ClientRequest, ClientExchange], Awaitable[None]]
 
 
@@ -174,7 +186,9 @@
         connection.stream, connection.parser, policy.is_closing()
     )
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_watch_client, connection, nursery.cancel_scope)
+        nursery.start_soon(
+            _watch_client, connection, exchange, nursery.cancel_scope
+        )
         await policy.answer(request, exchange)
         nursery.cancel_scope.cancel()
     if not exchange.is_whole:
@@ -188,16 +202,18 @@
 
 
 async def _watch_client(
-    connection: _Connection, scope: trio.CancelScope
+    connection: _Connection, exchange: ClientExchange, scope: trio.CancelScope
 ) -> None:
     """Cancel the request when its client closes the connection."""
     n_bytes = 0
     while n_bytes < _MAX_EARLY_BYTES:
         try:
             received = await connection.stream.receive_some(_READ_BYTES)
-        except _BROKEN:
+        except _BROKEN as error:
             received = b''
+            exchange.departure = _name_break(error)
         if not received:
+            exchange.departure = exchange.departure or 'closed'
             scope.cancel()
             return
         connection.early.append(received)
--- a/packages/node/src/turmericcrank_node/serving/router.py
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -176,6 +176,7 @@
             EventCode.request_cancelled,
             request=call.request_id,
             sent=work.n_sent,
+            departure=exchange.departure,
         )
         raise
     finally:
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -72,21 +72,25 @@
     progress = StreamProgress(Ladder(models), work.call.last_event_id)
     kept = await _try_upstreams(state, work, exchange, progress)
     if isinstance(kept, Done):
-        _log_end(state, work, progress, EventCode.request_answered)
+        _log_end(state, work, progress, exchange, EventCode.request_answered)
     elif exchange.is_started:
-        _log_end(state, work, progress, EventCode.stream_broken)
+        _log_end(state, work, progress, exchange, EventCode.stream_broken)
     elif isinstance(kept, Failed):
         await exchange.answer(
             kept.answering.status, kept.answering.head.headers, kept.body
         )
-        _log_end(state, work, progress, EventCode.request_answered)
+        _log_end(state, work, progress, exchange, EventCode.request_answered)
     else:
         fault = kept if isinstance(kept, AttemptFault) else _DOUBTED
         await refuse_fault(state, work, exchange, fault)
 
 
 def _log_end(
-    state: NodeState, work: Work, progress: StreamProgress, code: EventCode
+    state: NodeState,
+    work: Work,
+    progress: StreamProgress,
+    exchange: ClientExchange,
+    code: EventCode,
 ) -> None:
     state.log.write(
         code,
@@ -95,6 +99,7 @@
         sent=work.n_sent,
         last_event=progress.last_event_id,
         client_gone=progress.is_client_gone,
+        departure=exchange.departure,
         left_s=round(time_left_s(work), 3),
     )
 
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -37,6 +37,8 @@
 )
 from turmericcrank_node.state.node_state import NodeState, read_boot_s
 from turmericcrank_node.upstreams.attempt import (
+    HOST_SILENT,
+    NO_EVENT,
     Answering,
     AttemptFault,
     FaultKind,
@@ -72,14 +74,6 @@
     answering: Answering
 
 
-@dataclass(slots=True, frozen=True)
-class _Stalled:
-    """The upstream is silent and another one may take over."""
-
-
-_STALLED = _Stalled()
-
-
 async def relay_stream(state: NodeState, relay: Relay) -> StreamOutcome:
     """Pass the events of one upstream on until they end."""
     if not is_success(relay.answering.status):
@@ -92,8 +86,8 @@
     event_s = trio.current_time()
     while True:
         part = await _read_part(relay, event_s)
-        if isinstance(part, _Stalled):
-            return AttemptFault(FaultKind.unknown, 'stalled')
+        if isinstance(part, AttemptFault):
+            return part
         if isinstance(part, ReadFault):
             return AttemptFault(FaultKind.unknown, part.value)
         if part is None:
@@ -118,7 +112,7 @@
 
 async def _read_part(
     relay: Relay, event_s: float
-) -> bytes | ReadFault | _Stalled | None:
+) -> bytes | ReadFault | AttemptFault | None:
     """Read the next part of a stream, however long it takes.
 
     A pause ends the attempt only when another one may follow: at once if
@@ -132,11 +126,11 @@
     while True:
         is_late = trio.current_time() - event_s >= _MAX_PAUSE_S
         if is_late and may_follow(relay.work):
-            return _STALLED
+            return AttemptFault(FaultKind.unknown, NO_EVENT)
         with trio.move_on_after(_LOOK_S):
             return await read_body_part(relay.answering.connection)
         if may_follow(relay.work) and await is_host_silent(relay.upstream):
-            return _STALLED
+            return AttemptFault(FaultKind.unknown, HOST_SILENT)
 
 
 def _plan_step(state: NodeState, relay: Relay) -> int | None:
--- a/packages/node/src/turmericcrank_node/state/router_metrics.py
+++ b/packages/node/src/turmericcrank_node/state/router_metrics.py
@@ -26,6 +26,7 @@
         head_s: Time until an upstream begins to answer, by service and
             version, in seconds.
         store_s: Time of a call to the store, by outcome, in seconds.
+        news_bytes: Bytes of messages sent to other nodes.
     """
 
     registry: CollectorRegistry
@@ -33,6 +34,7 @@
     request_s: Histogram
     head_s: Histogram
     store_s: Histogram
+    news_bytes: Counter
 
 
 def make_metrics() -> RouterMetrics:
@@ -58,6 +60,11 @@
         make_histogram(
             'turmericcrank_store_seconds', 'Calls to the store.', 'outcome'
         ),
+        Counter(
+            'turmericcrank_news_sent_bytes',
+            'Messages to other nodes.',
+            registry=registry,
+        ),
     )
 
 
--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -24,6 +24,8 @@
 from turmericcrank_node.state.node_state import NodeState, read_boot_s
 
 __all__ = (
+    'HOST_SILENT',
+    'NO_EVENT',
     'Answering',
     'AttemptFault',
     'FaultKind',
@@ -32,10 +34,12 @@
     'takes_connections',
 )
 
+HOST_SILENT = 'host silent'
+NO_EVENT = 'no event in time'
 _CONNECT_S = 0.4
 _LOOK_S = 1.2
 _NO_RESPONSE = 'no response in time'
-_SILENCES = frozenset((_NO_RESPONSE, 'stalled'))
+_SILENCES = frozenset((_NO_RESPONSE, HOST_SILENT, NO_EVENT))
 _NOT_RUN_STATUSES = frozenset(
     (
         HTTPStatus.REQUEST_TIMEOUT,
@@ -135,6 +139,7 @@
     headers = state.platform.encode_sending(call, sending)
     request = call.request
     head: ResponseHead | ReadFault | None = None
+    ends_s = trio.current_time() + head_timeout_s
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
             write_request,
@@ -144,12 +149,14 @@
             headers,
             request.body,
         )
-        with trio.move_on_after(head_timeout_s) as scope:
+        with trio.move_on_at(ends_s) as scope:
             nursery.start_soon(_watch_host, upstream, scope)
             head = await read_response_head(connection)
         nursery.cancel_scope.cancel()
     if head is None:
-        return AttemptFault(FaultKind.unknown, _NO_RESPONSE)
+        is_over = trio.current_time() >= ends_s
+        reason = _NO_RESPONSE if is_over else HOST_SILENT
+        return AttemptFault(FaultKind.unknown, reason)
     if isinstance(head, ReadFault):
         return AttemptFault(FaultKind.unknown, head.value)
     answer = state.platform.decode_answer(head.status, head.headers)
--- a/tests/serving/test_stream_calls.py
+++ b/tests/serving/test_stream_calls.py
@@ -85,6 +85,27 @@
     assert seen.endswith(b'0\r\n\r\n')
 
 
+def _reasons(state):
+    return [
+        fields['reason']
+        for name, fields in state.log.events
+        if name == 'attempt_failed'
+    ]
+
+
+def test_a_silent_host_and_a_long_pause_are_told_apart_in_the_log():
+    hushed = [stream_head(), event_chunk(1), 'hush', 6.0]
+    pausing = [stream_head(), event_chunk(1), 6.0]
+    for script, reason in (
+        (hushed, 'host silent'),
+        (pausing, 'no event in time'),
+    ):
+        shared = [script, _whole(2)]
+        seen, _, state = _ask(shared, shared, timeout_s=9.0)
+        assert _reasons(state) == [reason]
+        assert seen.endswith(b'0\r\n\r\n')
+
+
 def test_an_engine_that_refuses_others_may_end_the_streams_it_has():
     """Replays the end of a roll-out: old engines leave, in long pauses."""
     head = stream_head()
@@ -170,6 +191,12 @@
             await trio.sleep(0.6)
             nursery.cancel_scope.cancel()
         assert not state.running_by_id
+        ends = [
+            fields['departure']
+            for name, fields in state.log.events
+            if name == 'request_cancelled'
+        ]
+        assert ends == ['closed']
         return fakes[0].closed_s[0] - left_s
 
     assert trio.run(main) < 0.5
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -1,17 +1,21 @@
 """Scripted upstreams, and the bytes that they send."""
 
 import contextlib
+import socket
 from dataclasses import dataclass, field
 
 import trio
 
+_QUEUE_LENGTH = 3
+
 
 @dataclass
 class FakeUpstream:
     """An upstream that plays one script for each connection.
 
     A script is a list of steps: bytes to send, seconds to wait as a float,
-    or 'close' or 'reset', or 'leave' to refuse further connections.
+    or 'close' or 'reset', or 'leave' to refuse further connections, or
+    'hush' to let them hang as if the host were gone.
     ``{id}`` in bytes is the id of the request.
     """
 
@@ -20,11 +24,14 @@
     closed_s: list = field(default_factory=list)
     address: str = ''
     listening: trio.CancelScope = field(default_factory=trio.CancelScope)
+    listener: socket.socket | None = None
+    hanging: list = field(default_factory=list)
 
     async def serve(self, task_status):
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         host, port = listeners[0].socket.getsockname()
         self.address = f'{host}:{port}'
+        self.listener = _copy_socket(listeners[0].socket)
         async with trio.open_nursery() as answering:
             with self.listening:
                 await trio.serve_listeners(
@@ -34,6 +41,16 @@
                     task_status=task_status,
                 )
 
+    def hush(self):
+        """Accept nothing more, and fill the queue of new connections."""
+        self.listening.cancel()
+        self.listener.listen(0)
+        for _ in range(_QUEUE_LENGTH):
+            caller = socket.socket()
+            caller.setblocking(False)
+            caller.connect_ex(self.listener.getsockname())
+            self.hanging.append(caller)
+
     async def _answer(self, stream):
         head = b''
         while b'\r\n\r\n' not in head:
@@ -64,7 +81,10 @@
             if isinstance(step, float):
                 await trio.sleep(step)
             elif step == 'leave':
+                self.listener.close()
                 self.listening.cancel()
+            elif step == 'hush':
+                self.hush()
             elif step == 'reset':
                 stream.setsockopt(
                     trio.socket.SOL_SOCKET,
@@ -80,6 +100,11 @@
         await stream.aclose()
 
 
+def _copy_socket(listening):
+    """Keep a port open after trio has closed its listener."""
+    return socket.socket(fileno=listening.dup().detach())
+
+
 def _read_head(head):
     lines = head.partition(b'\r\n\r\n')[0].decode().split('\r\n')
     pairs = [line.partition(': ') for line in lines[1:]]
