--- a/tests/membership/test_mesh.py
+++ b/tests/membership/test_mesh.py
@@ -1,5 +1,8 @@
 """How news reach all nodes, and what they cost, with few and many nodes."""
 
+import random
+from collections import Counter
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -28,6 +31,9 @@
 _MANY = {'north': 17, 'south': 16, 'east': 15, 'west': 17}
 _FEW = {'north': 3, 'south': 2, 'east': 2}
 _BUDGET_BYTES_PER_S = 9000
+# A quarter of the slowest link of the sites, 5 Mbit/s.
+_NEWS_BYTES_PER_S = 5_000_000 / 8 / 4
+_CHANGE_PAUSE_S = 0.05
 
 
 def _knows_all(play):
@@ -74,11 +80,11 @@
     play = play_start(_MANY, for_s=6)
     play.sent.clear()
     play.play(8)
-    n_bytes = sum(size for _, _, size in play.sent)
+    n_bytes = sum(message.n_bytes for message in play.sent)
     across = sum(
-        size
-        for sender, receiver, size in play.sent
-        if sender.data_centre != receiver.data_centre
+        message.n_bytes
+        for message in play.sent
+        if message.sender.data_centre != message.receiver.data_centre
     )
     assert n_bytes / len(play.nodes) / 8 < _BUDGET_BYTES_PER_S
     assert across < n_bytes / 10
@@ -103,9 +109,9 @@
 def test_the_loss_of_the_nodes_between_cells_is_made_good():
     play = play_start(_MANY)
     between = {
-        sender.node_id: sender
-        for sender, receiver, _ in play.sent[-2000:]
-        if sender.data_centre != receiver.data_centre
+        message.sender.node_id: message.sender
+        for message in play.sent[-2000:]
+        if message.sender.data_centre != message.receiver.data_centre
     }
     for node in between.values():
         play.kill(node)
@@ -227,6 +233,37 @@
     assert versions == {5}
 
 
+def _tell_changes(play, n_changes, row_bytes):
+    """Let the node that reads find one changed row after the other."""
+    reader = next(_find_reader(play)).state
+    luck = random.Random(n_changes)
+    for change in range(2, 2 + n_changes):
+        row = ChangedRow(f'u{change}', change, luck.randbytes(row_bytes))
+        page = FeedPage((row,), change, 0)
+        keep_page(reader, make_read_page(1, change - 1, page, play.now_s))
+        note_reading(reader.upstream_proof, change, change, play.now_s)
+        reader.want_news()
+        play.play(_CHANGE_PAUSE_S)
+
+
+@pytest.mark.parametrize(('n_changes', 'row_bytes'), [(45, 250), (1, 7500)])
+def test_a_burst_of_changes_leaves_the_links_to_clients(n_changes, row_bytes):
+    """Replays incident inc1: the upstreams of a roll-out leave the list."""
+    play = play_start(_MANY)
+    play.sent.clear()
+    began_s = play.now_s
+    _tell_changes(play, n_changes, row_bytes)
+    play.play(1)
+    n_by_second = Counter()
+    for message in play.sent:
+        second = int(message.sent_s - began_s)
+        n_by_second[message.sender.node_id, second] += message.n_bytes
+    assert max(n_by_second.values()) < _NEWS_BYTES_PER_S
+    play.play(1)
+    versions = {node.state.upstream_proof.read_version for node in play.nodes}
+    assert versions == {1 + n_changes}
+
+
 def _last_cell(log):
     cells = [
         fields['cell'] for name, fields in log.events if name == 'cell_changed'
--- a/tests/mesh_play.py
+++ b/tests/mesh_play.py
@@ -39,11 +39,18 @@
 
 
 @dataclass
-class MeshPlay:
-    """All nodes, and what went between them.
+class SentMessage:
+    """One message of ``n_bytes``; no receiver if nobody listens there."""
+
+    sender: PlayedNode
+    receiver: PlayedNode | None
+    n_bytes: int
+    sent_s: float
+
 
-    ``sent`` holds sender, receiver and bytes of each message.
-    """
+@dataclass
+class MeshPlay:
+    """All nodes, and the messages that went between them."""
 
     by_address: dict[str, PlayedNode]
     seeds: list[str]
@@ -90,7 +97,7 @@
         receiver = self.by_address.get(address)
         if receiver is sender:
             return
-        self.sent.append((sender, receiver, len(raw)))
+        self.sent.append(SentMessage(sender, receiver, len(raw), self.now_s))
         if receiver is None or self.luck.random() < self.loss:
             return
         news = unpack_news(raw)
--- a/tests/serving/test_plain_calls.py
+++ b/tests/serving/test_plain_calls.py
@@ -180,3 +180,21 @@
     )
     assert seen.startswith(b'HTTP/1.1 503')
     assert n_requests == 0
+
+
+def test_a_client_that_stops_reading_for_a_while_gets_its_whole_answer():
+    """Replays incident inc1: answers wait for seconds on a full link."""
+    body = bytes(8_000_000)
+
+    async def main():
+        state = _make_state(CallKind.idempotent, timeout_s=9.0)
+        async with trio.open_nursery() as nursery:
+            await start_upstreams(nursery, state, [[answer_bytes(body)]])
+            client = await open_client(nursery, state)
+            await client.send_all(request_bytes('/bays/1'))
+            await trio.sleep(4.5)
+            seen = await read_until(client, b'never', 3)
+            nursery.cancel_scope.cancel()
+        return seen
+
+    assert len(trio.run(main)) > len(body)
--- a/tests/serving/test_stream_calls.py
+++ b/tests/serving/test_stream_calls.py
@@ -106,6 +106,57 @@
         assert seen.endswith(b'0\r\n\r\n')
 
 
+def test_a_full_link_of_the_own_vm_is_not_taken_for_a_silent_host():
+    """Replays incident inc1: no host is reached for a while."""
+
+    async def main():
+        state = make_node_state(make_table(make_route()))
+        head = stream_head()
+        script = [head, event_chunk(1), 'hush', 2.6, event_chunk(2), END_CHUNK]
+        shared = [script]
+        async with trio.open_nursery() as nursery:
+            fakes = await start_upstreams(
+                nursery, state, shared, shared, slots=64
+            )
+            client = await open_client(nursery, state)
+            await client.send_all(request_bytes())
+            await read_until(client, b'id: 1')
+            idle = next(fake for fake in fakes if not fake.requests)
+            idle.hush()
+            seen = await read_until(client, END_CHUNK)
+            nursery.cancel_scope.cancel()
+        return seen, [one for fake in fakes for one in fake.requests]
+
+    seen, requests = trio.run(main)
+    assert len(requests) == 1
+    assert seen.endswith(b'0\r\n\r\n')
+
+
+def test_silence_ends_no_stream_that_no_retry_can_follow():
+    """Replays incident inc1: the retries of the site were used up."""
+
+    async def main():
+        state = make_node_state(make_table(make_route(timeout_s=9.0)))
+        bounds = replace(state.settings.bounds, retry_slack=1, retry_ratio=0)
+        state.settings = replace(state.settings, bounds=bounds)
+        reset = [stream_head(), event_chunk(1), 'reset']
+        head = stream_head()
+        pausing = [head, event_chunk(1), 3.6, event_chunk(2), END_CHUNK]
+        scripts = [reset, _whole(2), pausing]
+        async with trio.open_nursery() as nursery:
+            await start_upstreams(nursery, state, scripts, scripts, slots=64)
+            answers = []
+            for _ in range(2):
+                client = await open_client(nursery, state)
+                await client.send_all(request_bytes())
+                answers.append(await read_until(client, END_CHUNK))
+            nursery.cancel_scope.cancel()
+        return answers
+
+    for answer in trio.run(main):
+        assert answer.endswith(END_CHUNK)
+
+
 def test_an_engine_that_refuses_others_may_end_the_streams_it_has():
     """Replays the end of a roll-out: old engines leave, in long pauses."""
     head = stream_head()
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -41,6 +41,11 @@
                     task_status=task_status,
                 )
 
+    def leave(self):
+        """Refuse further connections."""
+        self.listener.close()
+        self.listening.cancel()
+
     def hush(self):
         """Accept nothing more, and fill the queue of new connections."""
         self.listening.cancel()
@@ -80,25 +85,27 @@
         for step in script:
             if isinstance(step, float):
                 await trio.sleep(step)
-            elif step == 'leave':
-                self.listener.close()
-                self.listening.cancel()
-            elif step == 'hush':
-                self.hush()
-            elif step == 'reset':
-                stream.setsockopt(
-                    trio.socket.SOL_SOCKET,
-                    trio.socket.SO_LINGER,
-                    b'\1\0\0\0\0\0\0\0',
-                )
-                stream.socket.close()
-                return
-            elif step != 'close':
+            elif isinstance(step, bytes):
                 raw = step.replace(b'{id}', request_id.encode())
                 with contextlib.suppress(trio.BrokenResourceError):
                     await stream.send_all(raw)
+            else:
+                self._act(stream, step)
         await stream.aclose()
 
+    def _act(self, stream, step):
+        if step == 'leave':
+            self.leave()
+        elif step == 'hush':
+            self.hush()
+        elif step == 'reset':
+            stream.setsockopt(
+                trio.socket.SOL_SOCKET,
+                trio.socket.SO_LINGER,
+                b'\1\0\0\0\0\0\0\0',
+            )
+            stream.socket.close()
+
 
 def _copy_socket(listening):
     """Keep a port open after trio has closed its listener."""
