End no slow attempt that nothing may follow

Cause: whether silence may end an attempt was judged by the attempts of the route alone; the site's retries were looked at only after the end. With these used up, a pause of 3.2 s, or a head that took its share of the time, ended a request that nothing replaced. Change: one wait (upstreams/patience) for heads and for plain calls, which looks at the retries at the moment at which it would end the attempt, and waits on without them; the same for pauses within a stream. A silent host still ends the wait for a head.

--- a/packages/node/src/turmericcrank_node/serving/plain_call.py
+++ b/packages/node/src/turmericcrank_node/serving/plain_call.py
@@ -1,6 +1,7 @@
 """Answers one call of a plain service with a whole response."""
 
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 
 import trio
@@ -18,7 +19,7 @@
     is_slow_answer,
     judge_attempt,
     look_after_fault,
-    may_follow,
+    may_follow_now,
     may_send,
     refuse_fault,
     time_left_s,
@@ -29,6 +30,7 @@
     FaultKind,
     open_attempt,
 )
+from turmericcrank_node.upstreams.patience import Patience, wait_patiently
 
 __all__ = ('answer_plain_call',)
 
@@ -120,21 +122,22 @@
     state: NodeState, work: Work, upstream: ListedUpstream
 ) -> _Whole | AttemptFault:
     left_s = time_left_s(work)
-    wait_s = left_s
-    if may_follow(work):
-        wait_s = left_s * _FIRST_TRY_SHARE
     sending = Sending(
         upstream.upstream_id,
         work.team.name,
         left_s,
         priority=None,
     )
-    outcome: _Whole | AttemptFault = AttemptFault(
-        FaultKind.unknown, 'no response in time'
-    )
     sent_s = trio.current_time()
-    with trio.move_on_after(wait_s):
-        outcome = await _exchange(state, work, upstream, sending, wait_s)
+    outcome: _Whole | AttemptFault = await wait_patiently(
+        Patience(
+            left_s * _FIRST_TRY_SHARE,
+            left_s,
+            partial(may_follow_now, state, work),
+        ),
+        upstream,
+        partial(_exchange, state, work, upstream, sending),
+    )
     work.n_sent += _is_sent(outcome)
     needed_s = trio.current_time() - sent_s
     state.metrics.head_s.labels(upstream.service, upstream.version).observe(
@@ -149,9 +152,8 @@
     work: Work,
     upstream: ListedUpstream,
     sending: Sending,
-    wait_s: float,
 ) -> _Whole | AttemptFault:
-    opened = await open_attempt(state, work.call, sending, upstream, wait_s)
+    opened = await open_attempt(state, work.call, sending, upstream)
     if isinstance(opened, AttemptFault):
         return opened
     try:
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -7,6 +7,7 @@
 """
 
 import statistics
+from functools import partial
 from http import HTTPStatus
 
 import trio
@@ -38,7 +39,7 @@
     is_slow_answer,
     judge_attempt,
     look_after_fault,
-    may_follow,
+    may_follow_now,
     may_send,
     refuse_fault,
     time_left_s,
@@ -50,6 +51,7 @@
     FaultKind,
     open_attempt,
 )
+from turmericcrank_node.upstreams.patience import Patience, wait_patiently
 
 __all__ = ('answer_stream_call',)
 
@@ -209,8 +211,16 @@
     sending: Sending,
 ) -> StreamOutcome:
     sent_s = trio.current_time()
-    wait_s = _plan_head_s(work, sending.time_left_s)
-    opened = await open_attempt(state, work.call, sending, upstream, wait_s)
+    patience = Patience(
+        _plan_head_s(work, sending.time_left_s),
+        sending.time_left_s,
+        partial(may_follow_now, state, work),
+    )
+    opened = await wait_patiently(
+        patience,
+        upstream,
+        partial(open_attempt, state, work.call, sending, upstream),
+    )
     if not isinstance(opened, Answering):
         return opened
     work.n_sent += 1
@@ -247,8 +257,6 @@
     A request that waits in the queue of a live engine waits on: another
     engine would put it at the end of its own queue.
     """
-    if not may_follow(work):
-        return left_s
     return max(work.route.objective_s, left_s * _HEAD_SHARE)
 
 
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -32,6 +32,7 @@
 from turmericcrank_node.serving.work import (
     Work,
     may_follow,
+    may_follow_now,
     may_retry,
     time_left_s,
 )
@@ -85,7 +86,7 @@
     relay.progress.splitter = splitter
     event_s = trio.current_time()
     while True:
-        part = await _read_part(relay, event_s)
+        part = await _read_part(state, relay, event_s)
         if isinstance(part, AttemptFault):
             return part
         if isinstance(part, ReadFault):
@@ -111,21 +112,23 @@
 
 
 async def _read_part(
-    relay: Relay, event_s: float
+    state: NodeState, relay: Relay, event_s: float
 ) -> bytes | ReadFault | AttemptFault | None:
     """Read the next part of a stream, however long it takes.
 
     A pause ends the attempt only when another one may follow: at once if
     the host does not respond, else after a long time without an event,
-    whether or not single bytes arrive.
+    whether or not single bytes arrive. While the site's retries are used
+    up, a long pause ends nothing.
 
     Args:
+        state: The node.
         relay: The two ends of the stream.
         event_s: When the last whole event came, on trio's clock.
     """
     while True:
         is_late = trio.current_time() - event_s >= _MAX_PAUSE_S
-        if is_late and may_follow(relay.work):
+        if is_late and may_follow_now(state, relay.work):
             return AttemptFault(FaultKind.unknown, NO_EVENT)
         with trio.move_on_after(_LOOK_S):
             return await read_body_part(relay.answering.connection)
--- a/packages/node/src/turmericcrank_node/serving/work.py
+++ b/packages/node/src/turmericcrank_node/serving/work.py
@@ -48,6 +48,7 @@
     'judge_attempt',
     'look_after_fault',
     'may_follow',
+    'may_follow_now',
     'may_retry',
     'may_send',
     'refuse',
@@ -241,6 +242,11 @@
     )
 
 
+def may_follow_now(state: NodeState, work: Work) -> bool:
+    """Tell whether another attempt may follow the current one at once."""
+    return may_follow(work) and may_retry(state, work.need.service)
+
+
 def may_send(state: NodeState, work: Work, n_before: int) -> bool:
     """Tell whether one more attempt may start; a repeat costs a retry.
 
--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -13,7 +13,6 @@
 from turmericcrank_node.http_wire import (
     ConnectFault,
     ReadFault,
-    ResponseHead,
     UpstreamConnection,
     connect_upstream,
     is_success,
@@ -26,6 +25,7 @@
 __all__ = (
     'HOST_SILENT',
     'NO_EVENT',
+    'NO_RESPONSE',
     'Answering',
     'AttemptFault',
     'FaultKind',
@@ -36,10 +36,9 @@
 
 HOST_SILENT = 'host silent'
 NO_EVENT = 'no event in time'
+NO_RESPONSE = 'no response in time'
 _CONNECT_S = 0.4
-_LOOK_S = 1.2
-_NO_RESPONSE = 'no response in time'
-_SILENCES = frozenset((_NO_RESPONSE, HOST_SILENT, NO_EVENT))
+_SILENCES = frozenset((NO_RESPONSE, HOST_SILENT, NO_EVENT))
 _NOT_RUN_STATUSES = frozenset(
     (
         HTTPStatus.REQUEST_TIMEOUT,
@@ -96,31 +95,27 @@
     call: Call,
     sending: Sending,
     upstream: ListedUpstream,
-    head_timeout_s: float,
 ) -> Answering | AttemptFault:
-    """Send a request and wait for the head of the response.
+    """Send a request and wait for the head of the response, without end.
 
     Args:
         state: The node.
         call: The client's request.
         sending: What the upstream is told with it.
         upstream: Where it goes.
-        head_timeout_s: Longest wait for the head, in seconds.
 
     Returns:
         The response, whose connection the caller closes, or why there is
         none; then the connection is closed.
     """
     host, port = split_address(upstream.address)
-    connect_s = min(_CONNECT_S, head_timeout_s)
+    connect_s = min(_CONNECT_S, sending.time_left_s)
     connection = await connect_upstream(host, port, connect_s)
     if isinstance(connection, ConnectFault):
         return AttemptFault(FaultKind.not_sent, connection.value)
     is_kept = False
     try:
-        outcome = await _exchange(
-            state, call, sending, connection, upstream, head_timeout_s
-        )
+        outcome = await _exchange(state, call, sending, connection, upstream)
         is_kept = isinstance(outcome, Answering)
     finally:
         if not is_kept:
@@ -134,12 +129,9 @@
     sending: Sending,
     connection: UpstreamConnection,
     upstream: ListedUpstream,
-    head_timeout_s: float,
 ) -> Answering | AttemptFault:
     headers = state.platform.encode_sending(call, sending)
     request = call.request
-    head: ResponseHead | ReadFault | None = None
-    ends_s = trio.current_time() + head_timeout_s
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
             write_request,
@@ -149,14 +141,8 @@
             headers,
             request.body,
         )
-        with trio.move_on_at(ends_s) as scope:
-            nursery.start_soon(_watch_host, upstream, scope)
-            head = await read_response_head(connection)
+        head = await read_response_head(connection)
         nursery.cancel_scope.cancel()
-    if head is None:
-        is_over = trio.current_time() >= ends_s
-        reason = _NO_RESPONSE if is_over else HOST_SILENT
-        return AttemptFault(FaultKind.unknown, reason)
     if isinstance(head, ReadFault):
         return AttemptFault(FaultKind.unknown, head.value)
     answer = state.platform.decode_answer(head.status, head.headers)
@@ -166,17 +152,6 @@
     return _check_head(connection, head.status, answer)
 
 
-async def _watch_host(
-    upstream: ListedUpstream, scope: trio.CancelScope
-) -> None:
-    """End the wait for an upstream whose host does not respond any more."""
-    while True:
-        await trio.sleep(_LOOK_S)
-        if await is_host_silent(upstream):
-            scope.cancel()
-            return
-
-
 async def takes_connections(upstream: ListedUpstream) -> bool:
     """Tell whether an upstream takes connections."""
     return await _probe(upstream) is None
