Take no host for silent while no other host is reached

Cause: a node probes the host of an upstream that pauses, and took a probe that was not made in 0.4 s for a lost host. With its own outgoing link full no probe is made in time, so it gave up sound streams; with a broken connection it would even have counted a crash against innocent requests. Change: two other upstreams are tried beside the one in doubt; it is silent only if one of these is reached (upstreams/host_probe). Crashes are judged by the same look. New beside it: test_a_broken_connection_is_no_crash_while_no_host_is_reached. Cost: two more connections for each look.

--- a/packages/node/src/turmericcrank_node/serving/plain_call.py
+++ b/packages/node/src/turmericcrank_node/serving/plain_call.py
@@ -130,6 +130,7 @@
     )
     sent_s = trio.current_time()
     outcome: _Whole | AttemptFault = await wait_patiently(
+        state,
         Patience(
             left_s * _FIRST_TRY_SHARE,
             left_s,
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -217,6 +217,7 @@
         partial(may_follow_now, state, work),
     )
     opened = await wait_patiently(
+        state,
         patience,
         upstream,
         partial(open_attempt, state, work.call, sending, upstream),
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -43,8 +43,8 @@
     Answering,
     AttemptFault,
     FaultKind,
-    is_host_silent,
 )
+from turmericcrank_node.upstreams.host_probe import is_host_silent
 
 __all__ = ('Relay', 'relay_stream')
 
@@ -132,7 +132,9 @@
             return AttemptFault(FaultKind.unknown, NO_EVENT)
         with trio.move_on_after(_LOOK_S):
             return await read_body_part(relay.answering.connection)
-        if may_follow(relay.work) and await is_host_silent(relay.upstream):
+        if not may_follow(relay.work):
+            continue
+        if await is_host_silent(state, relay.upstream):
             return AttemptFault(FaultKind.unknown, HOST_SILENT)
 
 
--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -29,9 +29,7 @@
     'Answering',
     'AttemptFault',
     'FaultKind',
-    'is_host_silent',
     'open_attempt',
-    'takes_connections',
 )
 
 HOST_SILENT = 'host silent'
@@ -152,29 +150,6 @@
     return _check_head(connection, head.status, answer)
 
 
-async def takes_connections(upstream: ListedUpstream) -> bool:
-    """Tell whether an upstream takes connections."""
-    return await _probe(upstream) is None
-
-
-async def is_host_silent(upstream: ListedUpstream) -> bool:
-    """Tell whether the host of an upstream does not respond at all.
-
-    One that refuses may be full or about to leave, and still answer the
-    requests that it has.
-    """
-    return await _probe(upstream) is ConnectFault.timed_out
-
-
-async def _probe(upstream: ListedUpstream) -> ConnectFault | None:
-    host, port = split_address(upstream.address)
-    probe = await connect_upstream(host, port, _CONNECT_S)
-    if isinstance(probe, ConnectFault):
-        return probe
-    probe.abort()
-    return None
-
-
 def _take_notices(
     state: NodeState, upstream: ListedUpstream, answer: AnswerHead
 ) -> None:
--- a/packages/node/src/turmericcrank_node/upstreams/crash_watch.py
+++ b/packages/node/src/turmericcrank_node/upstreams/crash_watch.py
@@ -24,8 +24,8 @@
 from turmericcrank_node.upstreams.attempt import (
     AttemptFault,
     FaultKind,
-    takes_connections,
 )
+from turmericcrank_node.upstreams.host_probe import HostSign, look_at_host
 
 __all__ = (
     'is_banned',
@@ -37,6 +37,8 @@
     'watch_for_crash',
 )
 
+_SIGNS_OF_A_CRASH = frozenset((HostSign.refuses, HostSign.silent))
+
 
 def make_fingerprint(call: Call, team: str) -> str:
     """Name a request by what it asks, not by its id, which is new each time."""
@@ -89,7 +91,7 @@
     """
     if fault.kind is not FaultKind.unknown or fault.is_silent:
         return
-    if await takes_connections(upstream):
+    if await look_at_host(state, upstream) not in _SIGNS_OF_A_CRASH:
         return
     record = CrashRecord(upstream.upstream_id, read_site_s(state), working)
     add_crash(state.suspects, record)
--- a/packages/node/src/turmericcrank_node/upstreams/patience.py
+++ b/packages/node/src/turmericcrank_node/upstreams/patience.py
@@ -11,13 +11,14 @@
 import trio
 from turmericcrank_core.upstream_rows import ListedUpstream
 
+from turmericcrank_node.state.node_state import NodeState
 from turmericcrank_node.upstreams.attempt import (
     HOST_SILENT,
     NO_RESPONSE,
     AttemptFault,
     FaultKind,
-    is_host_silent,
 )
+from turmericcrank_node.upstreams.host_probe import is_host_silent
 
 __all__ = ('Patience', 'wait_patiently')
 
@@ -50,6 +51,7 @@
 
 
 async def wait_patiently(
+    state: NodeState,
     patience: Patience,
     upstream: ListedUpstream,
     act: Callable[[], Awaitable[_Outcome | AttemptFault]],
@@ -57,6 +59,7 @@
     """Do what needs an upstream, and end it when another one should try.
 
     Args:
+        state: The node.
         patience: How long to wait.
         upstream: Who is waited for.
         act: Cleans up after itself when it is cancelled.
@@ -64,7 +67,7 @@
     outcome: _Outcome | AttemptFault | None = None
     async with trio.open_nursery() as nursery:
         wait = _Wait(nursery.cancel_scope)
-        nursery.start_soon(_watch, patience, upstream, wait)
+        nursery.start_soon(_watch, state, patience, upstream, wait)
         with trio.move_on_after(patience.left_s):
             outcome = await act()
         nursery.cancel_scope.cancel()
@@ -74,12 +77,15 @@
 
 
 async def _watch(
-    patience: Patience, upstream: ListedUpstream, wait: _Wait
+    state: NodeState,
+    patience: Patience,
+    upstream: ListedUpstream,
+    wait: _Wait,
 ) -> None:
     with trio.move_on_after(patience.usual_s):
         while True:
             await trio.sleep(_LOOK_S)
-            if await is_host_silent(upstream):
+            if await is_host_silent(state, upstream):
                 wait.reason = HOST_SILENT
                 wait.scope.cancel()
                 return
--- a/tests/serving/test_crashes.py
+++ b/tests/serving/test_crashes.py
@@ -110,3 +110,23 @@
         return state
 
     assert not trio.run(main).suspects.crashes
+
+
+def test_a_broken_connection_is_no_crash_while_no_host_is_reached():
+    """Replays incident inc1: the own link is full, the upstreams live."""
+
+    async def main():
+        state = _make_state()
+        async with trio.open_nursery() as nursery:
+            scripts = [['hush', 0.3, 'reset']]
+            fakes = await start_upstreams(nursery, state, scripts, scripts)
+            client = await open_client(nursery, state)
+            await client.send_all(request_bytes('/bays/1'))
+            await trio.sleep(0.2)
+            idle = next(fake for fake in fakes if not fake.requests)
+            idle.hush()
+            await read_until(client, b'\r\n\r\n')
+            nursery.cancel_scope.cancel()
+        return state
+
+    assert not trio.run(main).suspects.crashes
