Keep the connection of a client that reads slowly

Callers saw: an answer that ended in its middle. Cause: connections to clients had the limits of connections to upstreams: 3 s with bytes unacknowledged ended them. A full link, a lossy one or a client that does not read for a while all look like that. Change: limits of their own for clients (40 s); a request ends with its deadline, and idle connections with the operators' limit, long before. Ruled out: no limit at all would keep a lost client's answer for ever.

--- a/packages/node/src/turmericcrank_node/http_wire.py
+++ b/packages/node/src/turmericcrank_node/http_wire.py
@@ -15,10 +15,12 @@
 import trio
 
 __all__ = (
+    'CLIENT_SILENCE',
     'ConnectFault',
     'Headers',
     'ReadFault',
     'ResponseHead',
+    'SilenceLimits',
     'UpstreamConnection',
     'connect_upstream',
     'find_header',
@@ -35,10 +37,31 @@
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
 _MAX_INTERIM_HEADS = 16
-_USER_TIMEOUT_MS = 3000
-_KEEPALIVE_IDLE_S = 2
-_KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
+_UPSTREAM_UNACKNOWLEDGED_MS = 3000
+# A client may read slowly or be behind a full link; its deadline ends a
+# request long before this does.
+_CLIENT_UNACKNOWLEDGED_MS = 40_000
+_CLIENT_IDLE_S = 15
+
+
+@dataclass(slots=True, frozen=True)
+class SilenceLimits:
+    """How long a connection may show no sign of its other end.
+
+    Attributes:
+        unacknowledged_ms: While bytes wait there, in milliseconds.
+        idle_s: Before the first probe of a quiet connection, in seconds.
+        interval_s: Between two probes, in seconds.
+    """
+
+    unacknowledged_ms: int
+    idle_s: int
+    interval_s: int
+
+
+UPSTREAM_SILENCE = SilenceLimits(_UPSTREAM_UNACKNOWLEDGED_MS, 2, 1)
+CLIENT_SILENCE = SilenceLimits(_CLIENT_UNACKNOWLEDGED_MS, _CLIENT_IDLE_S, 5)
 
 
 class ConnectFault(enum.StrEnum):
@@ -86,14 +109,14 @@
         self.stream.socket.close()
 
 
-def set_socket_options(sock: Any) -> None:
+def set_socket_options(sock: Any, limits: SilenceLimits) -> None:
     """Set the options that show a peer that has gone silent."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, number in (
-        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-        (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
+        (socket.TCP_USER_TIMEOUT, limits.unacknowledged_ms),
+        (socket.TCP_KEEPIDLE, limits.idle_s),
+        (socket.TCP_KEEPINTVL, limits.interval_s),
         (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, number)
@@ -124,7 +147,7 @@
     if not is_connected:
         sock.close()
         return ConnectFault.timed_out
-    set_socket_options(sock)
+    set_socket_options(sock, UPSTREAM_SILENCE)
     return UpstreamConnection(trio.SocketStream(sock))
 
 
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -10,7 +10,11 @@
 import trio
 from turmericcrank_core.routing import ClientLimits
 
-from turmericcrank_node.http_wire import Headers, set_socket_options
+from turmericcrank_node.http_wire import (
+    CLIENT_SILENCE,
+    Headers,
+    set_socket_options,
+)
 
 __all__ = (
     'ClientExchange',
@@ -160,7 +164,7 @@
     policy: ConnectionPolicy, stream: trio.SocketStream
 ) -> None:
     """Serve the requests of one connection until it closes."""
-    set_socket_options(stream.socket)
+    set_socket_options(stream.socket, CLIENT_SILENCE)
     limits = policy.limits()
     parser = h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.header_bytes
