Let messages between nodes leave the link to answers

Cause: a burst of changes filled the outgoing links of the VMs that tell the others. Each change was a round of messages to all mates at once, and each message repeated every change of the last 1.8 s, with all counts of requests: quadratic in the changes of a burst. Ruled out: processor (18% at most), restarts, the store (all calls answered). One check changed: a message without loads used to clear them; that is now a message with none, and one that doesn't tell leaves them.

--- a/packages/node/src/turmericcrank_node/membership/news_exchange.py
+++ b/packages/node/src/turmericcrank_node/membership/news_exchange.py
@@ -16,8 +16,10 @@
 
 from turmericcrank_node.membership.news_taking import take_news
 from turmericcrank_node.membership.news_writing import (
+    Receiver,
     describe_across,
     describe_own,
+    describe_pages,
     expire_news,
     note_passed_on,
 )
@@ -34,6 +36,8 @@
 
 _PACE_S = 0.8
 _LINK_PACE_S = 0.4
+# A little less than the pace, which a change cuts short.
+_COUNTS_PAUSE_S = 0.6
 _GREETED_S = 0.85
 _MAX_SESSION_AGE_S = 20
 
@@ -47,12 +51,14 @@
         received_s: When it was read, on this node's clock.
         incarnation: Start of the peer that sent it.
         is_greeting: Whether the peer had not heard this node then.
+        changes: Last change of each table that the peer had.
     """
 
     sent_s: float
     received_s: float
     incarnation: str
     is_greeting: bool
+    changes: tuple[int, int]
 
 
 @dataclass(slots=True)
@@ -63,11 +69,13 @@
         heard_by_id: Newest message of each peer.
         silent_ids: Peers that were noted as silent.
         digest_sent_s: When other cells were told a digest, in seconds.
+        counts_sent_s: When mates were told counts, in seconds.
     """
 
     heard_by_id: dict[str, Heard] = field(default_factory=dict)
     silent_ids: set[str] = field(default_factory=set)
     digest_sent_s: float = 0
+    counts_sent_s: float = 0
 
 
 def iter_messages(
@@ -75,25 +83,40 @@
 ) -> Iterator[tuple[str, NodeNews]]:
     """Yield the messages that are due now, each with its address.
 
-    Mates are told, partners in other cells, and who has just greeted this
-    node.
+    Partners in other cells are told, who has just greeted this node, and
+    its mates. A message is made when it is asked for, so that one that has
+    to wait tells what is known then.
     """
     _forget_old(state, exchange, now_s)
     plan = plan_mesh(state.members, describe_self(state), now_s)
     _note_plan(state, plan)
-    own = describe_own(state, now_s)
+    has_counts = now_s - exchange.counts_sent_s >= _COUNTS_PAUSE_S
+    if has_counts:
+        exchange.counts_sent_s = now_s
+    own = describe_own(state, now_s, has_counts)
     note_passed_on(state)
-    for mate in plan.mates:
-        yield mate.peer_address, _make_news(state, exchange, mate, own, now_s)
-    if not plan.cell:
-        return
+    across = _describe_across(state, exchange, plan, now_s)
+    told = [
+        # Other cells first, as these have yet to pass it on.
+        *(
+            (peer, across)
+            for peer in _list_others(state, exchange, plan, now_s)
+        ),
+        *((mate, own) for mate in plan.mates),
+    ]
+    for peer, shared in told:
+        pages = _list_pages(state, exchange, peer, has_counts, now_s)
+        news = _make_news(state, exchange, peer, {**shared, **pages}, now_s)
+        yield peer.peer_address, news
+
+
+def _describe_across(
+    state: NodeState, exchange: NewsExchange, plan: MeshPlan, now_s: float
+) -> dict[str, Any]:
     is_due = now_s - exchange.digest_sent_s >= plan_digest_pause_s(plan.n_cells)
     if is_due:
         exchange.digest_sent_s = now_s
-    across = describe_across(state, now_s, is_due)
-    for peer in _list_others(state, exchange, plan, now_s):
-        news = _make_news(state, exchange, peer, across, now_s)
-        yield peer.peer_address, news
+    return describe_across(state, now_s, is_due)
 
 
 def plan_pause_s(state: NodeState) -> float:
@@ -109,7 +132,7 @@
 ) -> NodeNews:
     """Make the message to a node of which only the address is known."""
     nobody = Peer('', '', '', '', '', is_ready=False, heard_s=0)
-    own = describe_own(state, now_s)
+    own = describe_own(state, now_s, has_counts=False)
     return _make_news(state, exchange, nobody, own, now_s)
 
 
@@ -118,7 +141,11 @@
 ) -> None:
     """Take one message of a peer."""
     exchange.heard_by_id[news.node_id] = Heard(
-        news.sent_s, now_s, news.incarnation, news.echo_s < 0
+        news.sent_s,
+        now_s,
+        news.incarnation,
+        news.echo_s < 0,
+        tuple(change for change, _age_s in news.proofs),
     )
     if take_news(state, news, now_s):
         exchange.silent_ids.discard(news.node_id)
@@ -153,6 +180,8 @@
     state: NodeState, exchange: NewsExchange, plan: MeshPlan, now_s: float
 ) -> list[Peer]:
     """List the partners, and others that have just greeted this node."""
+    if not plan.cell:
+        return []
     mate_ids = {peer.node_id for peer in plan.mates}
     other_by_id = {peer.node_id: peer for peer in plan.partners}
     for node_id, heard in exchange.heard_by_id.items():
@@ -162,6 +191,25 @@
     return list(other_by_id.values())
 
 
+def _list_pages(
+    state: NodeState,
+    exchange: NewsExchange,
+    peer: Peer,
+    is_reminded: bool,
+    now_s: float,
+) -> dict[str, Any]:
+    """List the recent changes that one peer may lack."""
+    heard = exchange.heard_by_id.get(peer.node_id)
+    mates = state.members.mate_ids
+    receiver = Receiver(
+        peer.node_id,
+        mates is None or peer.node_id in mates,
+        heard.changes if heard else (0, 0),
+        is_reminded,
+    )
+    return {'pages': describe_pages(state, receiver, now_s)}
+
+
 def _make_news(
     state: NodeState,
     exchange: NewsExchange,
--- a/packages/node/src/turmericcrank_node/membership/news_taking.py
+++ b/packages/node/src/turmericcrank_node/membership/news_taking.py
@@ -70,7 +70,8 @@
     for page in news.pages:
         _take_page(state, news, page, now_s)
     _take_proofs(state, news)
-    note_loads(state.told_loads, news.node_id, news.running_by_id)
+    if news.running_by_id is not None:
+        note_loads(state.told_loads, news.node_id, news.running_by_id)
     for key, version, age_ms in news.sessions:
         note_session(state.sessions, key, version, now_s - age_ms / _MS)
     _take_counts(state, news, now_s)
--- a/packages/node/src/turmericcrank_node/membership/news_writing.py
+++ b/packages/node/src/turmericcrank_node/membership/news_writing.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 import msgspec
@@ -23,6 +23,7 @@
 from turmericcrank_node.membership.node_news import (
     CellDigest,
     CellKnowledge,
+    PageRow,
     pack_knowledge,
 )
 from turmericcrank_node.state.evidence_book import EvidenceCounts
@@ -33,8 +34,10 @@
 )
 
 __all__ = (
+    'Receiver',
     'describe_across',
     'describe_own',
+    'describe_pages',
     'expire_news',
     'note_passed_on',
 )
@@ -44,10 +47,46 @@
 _MS = 1000
 
 
-def describe_own(state: NodeState, now_s: float) -> dict[str, Any]:
-    """Give what each mate is told alike."""
-    return {
+@dataclass(slots=True, frozen=True)
+class Receiver:
+    """Who is told of changes.
+
+    Attributes:
+        node_id: Its name.
+        is_mate: Whether it belongs to this node's cell.
+        changes: Last change of each table that it says it has.
+        is_reminded: Whether it is told again of what it may have missed.
+    """
+
+    node_id: str
+    is_mate: bool
+    changes: tuple[int, int]
+    is_reminded: bool
+
+
+def describe_own(
+    state: NodeState, now_s: float, has_counts: bool
+) -> dict[str, Any]:
+    """Give what each mate is told alike.
+
+    Args:
+        state: The node.
+        now_s: Now, in seconds.
+        has_counts: Whether to tell what changes with each request too.
+    """
+    told = {
         **_describe_common(state, now_s),
+        'digests': list(_iter_passed_on(state, now_s)),
+    }
+    if has_counts:
+        told.update(_describe_counted(state, now_s))
+    return told
+
+
+def _describe_counted(state: NodeState, now_s: float) -> dict[str, Any]:
+    """Give what changes with each request."""
+    return {
+        'sessions': list(_iter_sessions(state, now_s)),
         'running_by_id': {
             name: count for name, count in state.running_by_id.items() if count
         },
@@ -61,12 +100,6 @@
             for key, counts in iter_own_evidence(state)
             if counts.changed_s >= now_s - _REPEAT_S
         ],
-        'pages': [
-            _describe_page(page)
-            for page in _iter_recent_pages(state, now_s)
-            if not page.is_from_mate
-        ],
-        'digests': list(_iter_passed_on(state, now_s)),
     }
 
 
@@ -80,13 +113,44 @@
     state: NodeState, now_s: float, is_digest_due: bool
 ) -> dict[str, Any]:
     """Give what nodes of other cells are told alike."""
-    digests = [_describe_cell(state, now_s)] if is_digest_due else []
-    pages = _iter_recent_pages(state, now_s)
-    return {
-        **_describe_common(state, now_s),
-        'pages': [_describe_page(page) for page in pages],
-        'digests': digests,
-    }
+    told = _describe_common(state, now_s)
+    if is_digest_due:
+        told['digests'] = [_describe_cell(state, now_s)]
+        told['sessions'] = list(_iter_sessions(state, now_s))
+    return told
+
+
+def describe_pages(
+    state: NodeState, receiver: Receiver, now_s: float
+) -> list[PageRow]:
+    """Give the recent changes that one peer may lack.
+
+    Each change goes to a peer once, and again with the counts as long as
+    the peer does not say that it has it.
+
+    Args:
+        state: The node; it notes whom it tells.
+        receiver: Who is told.
+        now_s: Now, in seconds.
+    """
+    return [
+        _tell_page(page, receiver.node_id)
+        for page in _iter_recent_pages(state, now_s)
+        if _may_lack(page, receiver)
+    ]
+
+
+def _may_lack(page: ReadPage, receiver: Receiver) -> bool:
+    if page.is_from_mate and receiver.is_mate:
+        return False
+    if receiver.changes[page.table_number] >= page.change:
+        return False
+    return receiver.is_reminded or receiver.node_id not in page.told_ids
+
+
+def _tell_page(page: ReadPage, node_id: str) -> PageRow:
+    page.told_ids.add(node_id)
+    return (page.table_number, page.after, page.page.version, page.packed)
 
 
 def expire_news(state: NodeState, now_s: float) -> None:
@@ -109,7 +173,6 @@
             _describe_proof(proof, now_s)
             for proof in (state.configuration_proof, state.upstream_proof)
         ],
-        'sessions': list(_iter_sessions(state, now_s)),
         'members': [
             _describe_member(peer, now_s)
             for peer in _iter_introduced(state, now_s)
@@ -202,10 +265,6 @@
     )
 
 
-def _describe_page(page: ReadPage) -> list[Any]:
-    return [page.table_number, page.after, page.page.version, page.packed]
-
-
 def _describe_rollout(rollout: RolloutState, now_s: float) -> list[Any]:
     order = rollout.order
     return [
--- a/packages/node/src/turmericcrank_node/membership/node_news.py
+++ b/packages/node/src/turmericcrank_node/membership/node_news.py
@@ -30,7 +30,7 @@
     'unpack_rows',
 )
 
-_FORMAT = 5
+_FORMAT = 6
 _FAST = 1
 _MAX_EXPANDED_BYTES = 0x100000
 _LAST_TABLE = 1
@@ -95,7 +95,8 @@
         echo_held_s: How long the sender has had that message.
         proofs: For each table that is followed: version of the last change
             applied, and the age of the proof in seconds; negative for none.
-        running_by_id: Requests in progress, by upstream.
+        running_by_id: Requests in progress, by upstream; None where the
+            message does not tell.
         sessions: Session keys with version and age in milliseconds.
         tallies: Upstream, answers and bad answers since the start.
         evidence: Version key, upstream, answers, errors and slow answers
@@ -127,7 +128,7 @@
     echo_incarnation: str
     echo_held_s: float
     proofs: Annotated[list[tuple[int, float]], Meta(min_length=2, max_length=2)]
-    running_by_id: dict[str, _Count] = {}
+    running_by_id: dict[str, _Count] | None = None
     sessions: list[tuple[str, str, int]] = []
     tallies: list[tuple[str, _Count, _Count]] = []
     evidence: list[EvidenceRow] = []
--- a/packages/node/src/turmericcrank_node/membership/peer_news.py
+++ b/packages/node/src/turmericcrank_node/membership/peer_news.py
@@ -9,6 +9,11 @@
 
 import trio
 from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.link_budget import (
+    LinkBudget,
+    note_sent,
+    plan_send_pause_s,
+)
 from turmericcrank_core.membership import iter_heard, plan_rank
 from turmericcrank_core.network_address import split_address
 from turmericcrank_core.store_turns import is_listing_itself
@@ -49,12 +54,19 @@
 
 
 async def _tell(state: NodeState, exchange: NewsExchange, sock: Any) -> None:
+    budget = LinkBudget(state.settings.link_bytes_per_s)
+    began_s = trio.current_time()
     while True:
-        with trio.move_on_after(plan_pause_s(state)):
+        with trio.move_on_at(began_s + plan_pause_s(state)):
             await state.news_wanted.wait()
         state.news_wanted = trio.Event()
+        began_s = trio.current_time()
         for address, news in iter_messages(state, exchange, read_boot_s()):
-            await _send(state, sock, address, news)
+            n_bytes = await _send(state, sock, address, news)
+            note_sent(budget, n_bytes, trio.current_time())
+            pause_s = plan_send_pause_s(budget, trio.current_time())
+            if pause_s:
+                await trio.sleep(pause_s)
         await trio.sleep(_REST_S)
 
 
@@ -114,17 +126,19 @@
 
 async def _send(
     state: NodeState, sock: Any, address: str, news: NodeNews
-) -> None:
+) -> int:
+    """Send one message; give its length in bytes."""
     raw = pack_news(news)
     if len(raw) > _MAX_DATAGRAM:
         state.log.write(EventCode.news_not_sent, detail='too large')
-        return
+        return 0
     try:
         await sock.sendto(raw, split_address(address))
     except OSError as error:
         state.log.write(EventCode.news_not_sent, detail=repr(error))
     else:
         state.metrics.news_bytes.inc(len(raw))
+    return len(raw)
 
 
 async def _receive(state: NodeState, exchange: NewsExchange, sock: Any) -> None:
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -95,6 +95,7 @@
         seed_addresses: Where some of its peers may be heard.
         store_address: ``IP:port`` of the platform's store.
         bounds: Promises of the site.
+        link_bytes_per_s: Capacity of the VM's link.
     """
 
     node_id: str
@@ -103,6 +104,7 @@
     seed_addresses: tuple[str, ...]
     store_address: str
     bounds: Bounds = Bounds()
+    link_bytes_per_s: float = 125e6
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -54,6 +54,7 @@
         read_s: When they were read, in seconds.
         is_from_mate: Whether a node of this node's cell read or passed them
             on, so that the whole cell has them.
+        told_ids: Nodes that this one has told of them.
     """
 
     table_number: int
@@ -62,6 +63,12 @@
     packed: bytes
     read_s: float
     is_from_mate: bool = False
+    told_ids: set[str] = field(default_factory=set)
+
+    @property
+    def change(self) -> int:
+        """Give the version of the last change."""
+        return max(row.version for row in self.page.rows)
 
 
 def make_read_page(
--- /dev/null
+++ b/tests/core/test_link_budget.py
@@ -0,0 +1,44 @@
+"""What messages between nodes may use of a link."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from turmericcrank_core.link_budget import (
+    LinkBudget,
+    note_sent,
+    plan_send_pause_s,
+)
+
+_LINK_BYTES_PER_S = 625_000
+_LARGEST_BYTES = 8000
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 0.4), st.integers(1, _LARGEST_BYTES)),
+        max_size=200,
+    ),
+    st.floats(0.5, 3),
+)
+def test_no_span_of_time_gets_more_than_a_quarter_of_the_link(asked, span_s):
+    """Replays a burst: messages that are ready faster than they may leave."""
+    budget = LinkBudget(_LINK_BYTES_PER_S)
+    now_s = 0.0
+    sent = []
+    for pause_s, n_bytes in asked:
+        now_s += max(pause_s, plan_send_pause_s(budget, now_s))
+        note_sent(budget, n_bytes, now_s)
+        sent.append((now_s, n_bytes))
+    for first_s, _ in sent:
+        within = sum(
+            size
+            for sent_s, size in sent
+            if first_s <= sent_s < first_s + span_s
+        )
+        assert within <= _LINK_BYTES_PER_S * span_s / 4
+
+
+def test_a_message_after_a_quiet_time_leaves_at_once():
+    budget = LinkBudget(_LINK_BYTES_PER_S)
+    note_sent(budget, _LARGEST_BYTES * 100, 0)
+    assert plan_send_pause_s(budget, 1) > 0
+    assert plan_send_pause_s(budget, 100) == 0
--- a/tests/membership/test_news.py
+++ b/tests/membership/test_news.py
@@ -1,10 +1,12 @@
 """Messages between nodes: proofs, loads, sessions, roll-outs."""
 
+import itertools
 import json
 import random
 from dataclasses import replace
 
 import msgpack
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
 from turmericcrank_core.proofs import (
@@ -17,7 +19,11 @@
 from turmericcrank_dev.news_bench import run_news
 from turmericcrank_node.membership.news_exchange import NewsExchange
 from turmericcrank_node.membership.news_taking import take_news
-from turmericcrank_node.membership.news_writing import describe_own
+from turmericcrank_node.membership.news_writing import (
+    Receiver,
+    describe_own,
+    describe_pages,
+)
 from turmericcrank_node.membership.node_news import (
     NodeNews,
     pack_news,
@@ -25,7 +31,10 @@
     unpack_news,
     unpack_rows,
 )
-from turmericcrank_node.membership.peer_news import take_datagram
+from turmericcrank_node.membership.peer_news import (
+    serve_peer_news,
+    take_datagram,
+)
 from turmericcrank_node.platform_port import ChangedRow, FeedPage
 from turmericcrank_node.state.node_state import make_read_page, read_boot_s
 from turmericcrank_node.state.table_watch import (
@@ -62,6 +71,11 @@
     return NodeNews(**{**usual, **fields})
 
 
+def _receiver(node_id='n2', **fields):
+    usual = {'is_mate': True, 'changes': (0, 0), 'is_reminded': False}
+    return Receiver(node_id, **{**usual, **fields})
+
+
 def _state():
     return make_node_state(make_table(make_route()))
 
@@ -180,7 +194,7 @@
     take_news(state, _news(running_by_id={'u1': 4}), read_boot_s())
     take_news(state, _news(running_by_id={'u1': 2}), read_boot_s())
     assert count_running(state, 'u1') == 3
-    take_news(state, _news(), read_boot_s())
+    take_news(state, _news(running_by_id={}), read_boot_s())
     assert count_running(state, 'u1') == 1
 
 
@@ -257,7 +271,7 @@
     knowing = _state()
     list_upstreams(knowing, make_upstream('u1', born_ms=7))
     note_leaving(knowing.notices, 'u1', 7, read_boot_s())
-    told = describe_own(knowing, read_boot_s() + 60)['leavers']
+    told = describe_own(knowing, read_boot_s() + 60, False)['leavers']
     starting = _state()
     take_news(starting, _news(leavers=told), read_boot_s())
     list_upstreams(starting, make_upstream('u1', born_ms=7))
@@ -286,11 +300,75 @@
     body = json.dumps({'version': 2, 'routes': routes}).encode()
     page = FeedPage((ChangedRow('config', 2, body),), 2, 0)
     keep_page(state, make_read_page(0, 1, page, read_boot_s()))
-    told = describe_own(state, read_boot_s())['pages'][0]
+    told = describe_pages(state, _receiver(), read_boot_s())[0]
     assert unpack_rows(told[3]) == [('config', 2, body)]
     assert len(told[3]) < len(body) / 3
 
 
+def _keep_change(state, change=5, **fields):
+    page = FeedPage((ChangedRow('u1', change, b'x'),), change, 0)
+    read_s = read_boot_s()
+    keep_page(state, make_read_page(1, change - 1, page, read_s, **fields))
+
+
+def test_a_change_goes_to_a_peer_once_and_again_until_it_has_it():
+    """Replays incident inc1: each message repeated all recent changes."""
+    state = _state()
+    _keep_change(state)
+
+    def count(**fields):
+        told = describe_pages(state, _receiver(**fields), read_boot_s())
+        return len(told)
+
+    assert count() == 1
+    assert count() == 0
+    assert count(node_id='n3') == 1
+    assert count(is_reminded=True) == 1
+    assert count(is_reminded=True, changes=(0, 5)) == 0
+    assert count(node_id='n4', changes=(9, 4)) == 1
+
+
+def test_what_a_mate_has_told_goes_to_other_cells_only():
+    state = _state()
+    _keep_change(state, is_from_mate=True)
+    now_s = read_boot_s()
+    assert not describe_pages(state, _receiver(), now_s)
+    assert describe_pages(state, _receiver(is_mate=False), now_s)
+
+
+def test_a_message_without_counts_leaves_the_loads_as_they_are():
+    state = _state()
+    for running_by_id, expected in (({'u1': 2}, 2), (None, 2), ({}, 0)):
+        take_news(state, _news(running_by_id=running_by_id), read_boot_s())
+        assert count_running(state, 'u1') == expected
+
+
+def test_a_burst_of_changes_waits_for_its_part_of_the_link():
+    """Replays incident inc1: changes came faster than a link carries them."""
+    link_bytes_per_s = 20_000
+    played_s = 1.5
+
+    async def main():
+        state = _state()
+        state.settings = replace(
+            state.settings, link_bytes_per_s=link_bytes_per_s
+        )
+        for node_id in ('n2', 'n3', 'n4'):
+            take_news(state, _news(node_id=node_id), read_boot_s())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_peer_news, state)
+            with trio.move_on_after(played_s):
+                for change in itertools.count(2):
+                    _keep_change(state, change)
+                    state.want_news()
+                    await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+        return state.metrics.news_bytes.collect()[0].samples[0].value
+
+    n_bytes = trio.run(main)
+    assert 0 < n_bytes < link_bytes_per_s * played_s / 4
+
+
 def test_a_reading_that_failed_delays_a_known_change_only_a_moment():
     """Replays trouble-3 of the grown Vembanad: 5.6 s behind a configuration."""
     state = _state()
--- a/tests/mesh_play.py
+++ b/tests/mesh_play.py
@@ -1,8 +1,14 @@
 """Plays the exchange of news between many nodes, on a clock of its own."""
 
 import random
+from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
+from turmericcrank_core.link_budget import (
+    LinkBudget,
+    note_sent,
+    plan_send_pause_s,
+)
 from turmericcrank_core.membership import iter_heard
 from turmericcrank_node.membership.news_exchange import (
     NewsExchange,
@@ -18,6 +24,8 @@
 from tests.router_fakes import make_node_state
 
 _STEP_S = 0.05
+# The slowest link of the sites, 5 Mbit/s.
+_LINK_BYTES_PER_S = 5_000_000 / 8
 _PACE_SPREAD = (0.85, 1)
 
 
@@ -27,7 +35,9 @@
 
     state: NodeState
     next_s: float
+    budget: LinkBudget
     exchange: NewsExchange = field(default_factory=NewsExchange)
+    outbox: Iterator | None = None
 
     @property
     def node_id(self):
@@ -81,22 +91,31 @@
         while self.now_s < ends_s:
             self.now_s += _STEP_S
             for node in self.nodes:
-                if node.next_s <= self.now_s or node.state.news_wanted.is_set():
-                    self._tell(node)
+                self._tell(node)
 
     def _tell(self, node):
+        is_due = node.next_s <= self.now_s or node.state.news_wanted.is_set()
+        if node.outbox is None and is_due:
+            self._begin_round(node)
+        while node.outbox and not plan_send_pause_s(node.budget, self.now_s):
+            message = next(node.outbox, None)
+            if message is None:
+                node.outbox = None
+            else:
+                self._deliver(node, *message)
+
+    def _begin_round(self, node):
         node.state.news_wanted = type(node.state.news_wanted)()
         pause_s = plan_pause_s(node.state) * self.luck.uniform(*_PACE_SPREAD)
         node.next_s = self.now_s + pause_s
-        messages = list(iter_messages(node.state, node.exchange, self.now_s))
-        for address, news in messages:
-            self._deliver(node, address, news)
+        node.outbox = iter_messages(node.state, node.exchange, self.now_s)
 
     def _deliver(self, sender, address, news):
         raw = pack_news(news)
         receiver = self.by_address.get(address)
         if receiver is sender:
             return
+        note_sent(sender.budget, len(raw), self.now_s)
         self.sent.append(SentMessage(sender, receiver, len(raw), self.now_s))
         if receiver is None or self.luck.random() < self.loss:
             return
@@ -117,7 +136,8 @@
         state.settings, data_centre=data_centre, addresses=addresses
     )
     first_s = now_s + 0.8 * random.Random(state.settings.node_id).random()
-    return PlayedNode(state, first_s)
+    budget = LinkBudget(_LINK_BYTES_PER_S)
+    return PlayedNode(state, first_s, budget)
 
 
 def play_start(n_by_data_centre, for_s=4.0, seeds=(0,)):
