Count greetings in the link budget, and tell sessions across with the counts

Greetings went out beside the budget, hundreds at once where the store lists that many nodes; and sessions went to other cells with the digests, whose pause is longer than sessions are told for from ten cells on. Change: one place sends and paces; sessions go across with the counts.

--- a/packages/node/src/turmericcrank_node/membership/news_exchange.py
+++ b/packages/node/src/turmericcrank_node/membership/news_exchange.py
@@ -95,7 +95,7 @@
         exchange.counts_sent_s = now_s
     own = describe_own(state, now_s, has_counts)
     note_passed_on(state)
-    across = _describe_across(state, exchange, plan, now_s)
+    across = _describe_across(state, exchange, plan, has_counts, now_s)
     told = [
         # Other cells first, as these have yet to pass it on.
         *(
@@ -111,12 +111,16 @@
 
 
 def _describe_across(
-    state: NodeState, exchange: NewsExchange, plan: MeshPlan, now_s: float
+    state: NodeState,
+    exchange: NewsExchange,
+    plan: MeshPlan,
+    has_counts: bool,
+    now_s: float,
 ) -> dict[str, Any]:
     is_due = now_s - exchange.digest_sent_s >= plan_digest_pause_s(plan.n_cells)
     if is_due:
         exchange.digest_sent_s = now_s
-    return describe_across(state, now_s, is_due)
+    return describe_across(state, now_s, has_counts, is_due)
 
 
 def plan_pause_s(state: NodeState) -> float:
--- a/packages/node/src/turmericcrank_node/membership/news_writing.py
+++ b/packages/node/src/turmericcrank_node/membership/news_writing.py
@@ -110,13 +110,14 @@
 
 
 def describe_across(
-    state: NodeState, now_s: float, is_digest_due: bool
+    state: NodeState, now_s: float, has_counts: bool, is_digest_due: bool
 ) -> dict[str, Any]:
     """Give what nodes of other cells are told alike."""
     told = _describe_common(state, now_s)
+    if has_counts:
+        told['sessions'] = list(_iter_sessions(state, now_s))
     if is_digest_due:
         told['digests'] = [_describe_cell(state, now_s)]
-        told['sessions'] = list(_iter_sessions(state, now_s))
     return told
 
 
--- a/packages/node/src/turmericcrank_node/membership/peer_news.py
+++ b/packages/node/src/turmericcrank_node/membership/peer_news.py
@@ -5,6 +5,7 @@
 the age of a proof counts from a moment that the receiver knows.
 """
 
+from dataclasses import dataclass
 from typing import Any
 
 import trio
@@ -41,45 +42,55 @@
 _LOST_MEMBERS_S = 3
 
 
+@dataclass(slots=True)
+class _Sender:
+    """What the tasks that send messages share."""
+
+    state: NodeState
+    exchange: NewsExchange
+    sock: Any
+    budget: LinkBudget
+
+
 async def serve_peer_news(state: NodeState) -> None:
     """Exchange messages with the other nodes for ever."""
     sock = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
     host, port = split_address(state.settings.addresses.peer)
     await sock.bind((host, port))
     exchange = NewsExchange()
+    budget = LinkBudget(state.settings.link_bytes_per_s)
+    sender = _Sender(state, exchange, sock, budget)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_receive, state, exchange, sock)
-        nursery.start_soon(_tell, state, exchange, sock)
-        nursery.start_soon(_join, state, exchange, sock)
+        nursery.start_soon(_tell, sender)
+        nursery.start_soon(_join, sender)
 
 
-async def _tell(state: NodeState, exchange: NewsExchange, sock: Any) -> None:
-    budget = LinkBudget(state.settings.link_bytes_per_s)
+async def _tell(sender: _Sender) -> None:
+    state = sender.state
     began_s = trio.current_time()
     while True:
         with trio.move_on_at(began_s + plan_pause_s(state)):
             await state.news_wanted.wait()
         state.news_wanted = trio.Event()
         began_s = trio.current_time()
-        for address, news in iter_messages(state, exchange, read_boot_s()):
-            n_bytes = await _send(state, sock, address, news)
-            note_sent(budget, n_bytes, trio.current_time())
-            pause_s = plan_send_pause_s(budget, trio.current_time())
-            if pause_s:
-                await trio.sleep(pause_s)
+        messages = iter_messages(state, sender.exchange, read_boot_s())
+        for address, news in messages:
+            await _send(sender, address, news)
         await trio.sleep(_REST_S)
 
 
-async def _join(state: NodeState, exchange: NewsExchange, sock: Any) -> None:
+async def _join(sender: _Sender) -> None:
     """Find the other nodes: by the seeds, and by the store's list."""
+    state = sender.state
     is_listed = False
     for address in _list_silent_seeds(state):
-        await _greet(state, exchange, sock, address)
+        await _greet(sender, address)
     # Who is alone, and who has the lowest rank, is not known before.
     await trio.sleep(_JOIN_PAUSE_S)
     while True:
         for address in _list_silent_seeds(state):
-            await _greet(state, exchange, sock, address)
+            await _greet(sender, address)
         now_s = read_boot_s()
         is_alone = not any(iter_heard(state.members, now_s))
         rank = plan_rank(state.members, state.settings.node_id, now_s)
@@ -89,7 +100,7 @@
             )
             is_listed = not isinstance(written, StoreUnavailable)
         if is_alone:
-            await _greet_listed(state, exchange, sock)
+            await _greet_listed(sender)
             await trio.sleep(_LOST_MEMBERS_S - _JOIN_PAUSE_S)
         await trio.sleep(_JOIN_PAUSE_S)
 
@@ -106,39 +117,38 @@
     ]
 
 
-async def _greet_listed(
-    state: NodeState, exchange: NewsExchange, sock: Any
-) -> None:
+async def _greet_listed(sender: _Sender) -> None:
+    state = sender.state
     found = await state.platform.store.read_members()
     if isinstance(found, StoreUnavailable):
         return
     for node_id, address in found.items():
         if node_id != state.settings.node_id:
-            await _greet(state, exchange, sock, address)
+            await _greet(sender, address)
 
 
-async def _greet(
-    state: NodeState, exchange: NewsExchange, sock: Any, address: str
-) -> None:
-    news = make_greeting(state, exchange, read_boot_s())
-    await _send(state, sock, address, news)
+async def _greet(sender: _Sender, address: str) -> None:
+    news = make_greeting(sender.state, sender.exchange, read_boot_s())
+    await _send(sender, address, news)
 
 
-async def _send(
-    state: NodeState, sock: Any, address: str, news: NodeNews
-) -> int:
-    """Send one message; give its length in bytes."""
+async def _send(sender: _Sender, address: str, news: NodeNews) -> None:
+    """Send one message, and wait until the next one may leave."""
+    state = sender.state
     raw = pack_news(news)
     if len(raw) > _MAX_DATAGRAM:
         state.log.write(EventCode.news_not_sent, detail='too large')
-        return 0
+        return
     try:
-        await sock.sendto(raw, split_address(address))
+        await sender.sock.sendto(raw, split_address(address))
     except OSError as error:
         state.log.write(EventCode.news_not_sent, detail=repr(error))
     else:
         state.metrics.news_bytes.inc(len(raw))
-    return len(raw)
+    note_sent(sender.budget, len(raw), trio.current_time())
+    pause_s = plan_send_pause_s(sender.budget, trio.current_time())
+    if pause_s:
+        await trio.sleep(pause_s)
 
 
 async def _receive(state: NodeState, exchange: NewsExchange, sock: Any) -> None:
