--- a/packages/node/src/turmericcrank_node/membership/news_writing.py
+++ b/packages/node/src/turmericcrank_node/membership/news_writing.py
@@ -1,8 +1,9 @@
 """Describes what a node knows, for its mates and for other cells."""
 
+import itertools
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 import msgspec
@@ -23,6 +24,7 @@
 from turmericcrank_node.membership.node_news import (
     CellDigest,
     CellKnowledge,
+    PageRow,
     pack_knowledge,
 )
 from turmericcrank_node.state.evidence_book import EvidenceCounts
@@ -33,21 +35,64 @@
 )
 
 __all__ = (
+    'Receiver',
     'describe_across',
     'describe_own',
+    'describe_pages',
+    'describe_small_pages',
+    'describe_proofs',
     'expire_news',
     'note_passed_on',
 )
 
 _REPEAT_S = 1.8
 _DIGEST_KEPT_S = 3
+_SMALL_PAGE_BYTES = 1000
+_MESSAGE_BYTES = 8000
+_ON_ITS_WAY_S = 0.3
 _MS = 1000
 
 
-def describe_own(state: NodeState, now_s: float) -> dict[str, Any]:
-    """Give what each mate is told alike."""
-    return {
+@dataclass(slots=True, frozen=True)
+class Receiver:
+    """Who is told of changes.
+
+    Attributes:
+        node_id: Its name.
+        is_mate: Whether it belongs to this node's cell.
+        changes: Last change of each table that it has said it has.
+        heard_s: When it said so, in seconds.
+    """
+
+    node_id: str
+    is_mate: bool
+    changes: tuple[int, int] = (0, 0)
+    heard_s: float = 0
+
+
+def describe_own(
+    state: NodeState, now_s: float, has_counts: bool
+) -> dict[str, Any]:
+    """Give what each mate is told alike.
+
+    Args:
+        state: The node.
+        now_s: Now, in seconds.
+        has_counts: Whether to tell what changes with each request too.
+    """
+    told = {
         **_describe_common(state, now_s),
+        'digests': list(_iter_passed_on(state, now_s)),
+    }
+    if has_counts:
+        told.update(_describe_counted(state, now_s))
+    return told
+
+
+def _describe_counted(state: NodeState, now_s: float) -> dict[str, Any]:
+    """Give what changes with each request."""
+    return {
+        'sessions': list(_iter_sessions(state, now_s)),
         'running_by_id': {
             name: count for name, count in state.running_by_id.items() if count
         },
@@ -61,12 +106,6 @@
             for key, counts in iter_own_evidence(state)
             if counts.changed_s >= now_s - _REPEAT_S
         ],
-        'pages': [
-            _describe_page(page)
-            for page in _iter_recent_pages(state, now_s)
-            if not page.is_from_mate
-        ],
-        'digests': list(_iter_passed_on(state, now_s)),
     }
 
 
@@ -77,16 +116,73 @@
 
 
 def describe_across(
-    state: NodeState, now_s: float, is_digest_due: bool
+    state: NodeState, now_s: float, has_counts: bool, is_digest_due: bool
 ) -> dict[str, Any]:
     """Give what nodes of other cells are told alike."""
-    digests = [_describe_cell(state, now_s)] if is_digest_due else []
-    pages = _iter_recent_pages(state, now_s)
-    return {
-        **_describe_common(state, now_s),
-        'pages': [_describe_page(page) for page in pages],
-        'digests': digests,
-    }
+    told = _describe_common(state, now_s)
+    if has_counts:
+        told['sessions'] = list(_iter_sessions(state, now_s))
+    if is_digest_due:
+        told['digests'] = [_describe_cell(state, now_s)]
+    return told
+
+
+def describe_small_pages(
+    state: NodeState, receiver: Receiver, now_s: float
+) -> list[PageRow]:
+    """Give the changes that one peer may lack, up to the first large one.
+
+    Each change goes to a peer once, and again when the peer has spoken
+    since and lacks it. A peer takes the changes of a table in their order.
+
+    Args:
+        state: The node; it notes whom it tells.
+        receiver: Who is told.
+        now_s: Now, in seconds.
+    """
+    small = itertools.takewhile(
+        lambda page: len(page.packed) <= _SMALL_PAGE_BYTES,
+        _list_lacked(state, receiver, now_s),
+    )
+    return [_tell_page(page, receiver.node_id, now_s) for page in small]
+
+
+def describe_pages(
+    state: NodeState, receiver: Receiver, now_s: float
+) -> list[PageRow]:
+    """Give the changes that one peer may lack, as many as fit a message.
+
+    Args:
+        state: The node; it notes whom it tells.
+        receiver: Who is told.
+        now_s: Now, in seconds.
+    """
+    pages = _list_lacked(state, receiver, now_s)
+    ends = itertools.accumulate(len(page.packed) for page in pages)
+    n_fitting = sum(end <= _MESSAGE_BYTES for end in ends)
+    told = pages[: max(1, n_fitting)]
+    return [_tell_page(page, receiver.node_id, now_s) for page in told]
+
+
+def _list_lacked(
+    state: NodeState, receiver: Receiver, now_s: float
+) -> list[ReadPage]:
+    recent = _iter_recent_pages(state, now_s)
+    return [page for page in recent if _may_lack(page, receiver)]
+
+
+def _may_lack(page: ReadPage, receiver: Receiver) -> bool:
+    if page.is_from_mate and receiver.is_mate:
+        return False
+    if receiver.changes[page.table_number] >= page.change:
+        return False
+    told_s = page.told_s_by_id.get(receiver.node_id)
+    return told_s is None or receiver.heard_s - told_s > _ON_ITS_WAY_S
+
+
+def _tell_page(page: ReadPage, node_id: str, now_s: float) -> PageRow:
+    page.told_s_by_id[node_id] = now_s
+    return (page.table_number, page.after, page.page.version, page.packed)
 
 
 def expire_news(state: NodeState, now_s: float) -> None:
@@ -105,11 +201,7 @@
 def _describe_common(state: NodeState, now_s: float) -> dict[str, Any]:
     return {
         'cell': state.mesh.cell,
-        'proofs': [
-            _describe_proof(proof, now_s)
-            for proof in (state.configuration_proof, state.upstream_proof)
-        ],
-        'sessions': list(_iter_sessions(state, now_s)),
+        'proofs': describe_proofs(state, now_s),
         'members': [
             _describe_member(peer, now_s)
             for peer in _iter_introduced(state, now_s)
@@ -182,6 +274,14 @@
     return [*key, counts.n_answers, counts.n_errors, counts.n_slow]
 
 
+def describe_proofs(state: NodeState, now_s: float) -> list[list[float]]:
+    """Give how far and how lately each table is known."""
+    return [
+        _describe_proof(proof, now_s)
+        for proof in (state.configuration_proof, state.upstream_proof)
+    ]
+
+
 def _describe_proof(proof: TableProof, now_s: float) -> list[float]:
     if proof.proven_s is None:
         return [proof.change, -1]
@@ -202,10 +302,6 @@
     )
 
 
-def _describe_page(page: ReadPage) -> list[Any]:
-    return [page.table_number, page.after, page.page.version, page.packed]
-
-
 def _describe_rollout(rollout: RolloutState, now_s: float) -> list[Any]:
     order = rollout.order
     return [
--- a/packages/node/src/turmericcrank_node/membership/peer_news.py
+++ b/packages/node/src/turmericcrank_node/membership/peer_news.py
@@ -5,17 +5,25 @@
 the age of a proof counts from a moment that the receiver knows.
 """
 
+from dataclasses import dataclass
 from typing import Any
 
 import trio
 from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.link_budget import (
+    LinkBudget,
+    note_sent,
+    plan_send_pause_s,
+)
 from turmericcrank_core.membership import iter_heard, plan_rank
 from turmericcrank_core.network_address import split_address
 from turmericcrank_core.store_turns import is_listing_itself
 
 from turmericcrank_node.membership.news_exchange import (
     NewsExchange,
+    is_round_due,
     iter_messages,
+    iter_page_messages,
     make_greeting,
     plan_pause_s,
     take_message,
@@ -36,38 +44,70 @@
 _LOST_MEMBERS_S = 3
 
 
+@dataclass(slots=True)
+class _Sender:
+    """What the tasks that send messages share."""
+
+    state: NodeState
+    exchange: NewsExchange
+    sock: Any
+    budget: LinkBudget
+
+
 async def serve_peer_news(state: NodeState) -> None:
     """Exchange messages with the other nodes for ever."""
     sock = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
     host, port = split_address(state.settings.addresses.peer)
     await sock.bind((host, port))
     exchange = NewsExchange()
+    budget = LinkBudget(state.settings.link_bytes_per_s)
+    sender = _Sender(state, exchange, sock, budget)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_receive, state, exchange, sock)
-        nursery.start_soon(_tell, state, exchange, sock)
-        nursery.start_soon(_join, state, exchange, sock)
+        nursery.start_soon(_tell, sender)
+        nursery.start_soon(_join, sender)
 
 
-async def _tell(state: NodeState, exchange: NewsExchange, sock: Any) -> None:
+async def _tell(sender: _Sender) -> None:
+    state = sender.state
     while True:
-        with trio.move_on_after(plan_pause_s(state)):
-            await state.news_wanted.wait()
+        began_s = trio.current_time()
+        next_s = began_s + plan_pause_s(state)
         state.news_wanted = trio.Event()
-        for address, news in iter_messages(state, exchange, read_boot_s()):
-            await _send(state, sock, address, news)
+        for address, news in iter_messages(
+            state, sender.exchange, read_boot_s()
+        ):
+            await _send(sender, address, news)
         await trio.sleep(_REST_S)
+        await _send_pages(sender, next_s)
+        with trio.move_on_at(next_s):
+            await state.news_wanted.wait()
+
+
+async def _send_pages(sender: _Sender, next_s: float) -> None:
+    """Send large changes until other news have to go."""
+    state = sender.state
+    began_s = trio.current_time()
+    for address, news in iter_page_messages(
+        state, sender.exchange, read_boot_s
+    ):
+        await _send(sender, address, news)
+        is_wanted = state.news_wanted.is_set()
+        if is_round_due(trio.current_time(), next_s, began_s, is_wanted):
+            return
 
 
-async def _join(state: NodeState, exchange: NewsExchange, sock: Any) -> None:
+async def _join(sender: _Sender) -> None:
     """Find the other nodes: by the seeds, and by the store's list."""
+    state = sender.state
     is_listed = False
     for address in _list_silent_seeds(state):
-        await _greet(state, exchange, sock, address)
+        await _greet(sender, address)
     # Who is alone, and who has the lowest rank, is not known before.
     await trio.sleep(_JOIN_PAUSE_S)
     while True:
         for address in _list_silent_seeds(state):
-            await _greet(state, exchange, sock, address)
+            await _greet(sender, address)
         now_s = read_boot_s()
         is_alone = not any(iter_heard(state.members, now_s))
         rank = plan_rank(state.members, state.settings.node_id, now_s)
@@ -77,7 +117,7 @@
             )
             is_listed = not isinstance(written, StoreUnavailable)
         if is_alone:
-            await _greet_listed(state, exchange, sock)
+            await _greet_listed(sender)
             await trio.sleep(_LOST_MEMBERS_S - _JOIN_PAUSE_S)
         await trio.sleep(_JOIN_PAUSE_S)
 
@@ -94,35 +134,38 @@
     ]
 
 
-async def _greet_listed(
-    state: NodeState, exchange: NewsExchange, sock: Any
-) -> None:
+async def _greet_listed(sender: _Sender) -> None:
+    state = sender.state
     found = await state.platform.store.read_members()
     if isinstance(found, StoreUnavailable):
         return
     for node_id, address in found.items():
         if node_id != state.settings.node_id:
-            await _greet(state, exchange, sock, address)
+            await _greet(sender, address)
 
 
-async def _greet(
-    state: NodeState, exchange: NewsExchange, sock: Any, address: str
-) -> None:
-    news = make_greeting(state, exchange, read_boot_s())
-    await _send(state, sock, address, news)
+async def _greet(sender: _Sender, address: str) -> None:
+    news = make_greeting(sender.state, sender.exchange, read_boot_s())
+    await _send(sender, address, news)
 
 
-async def _send(
-    state: NodeState, sock: Any, address: str, news: NodeNews
-) -> None:
+async def _send(sender: _Sender, address: str, news: NodeNews) -> None:
+    """Send one message, and wait until the next one may leave."""
+    state = sender.state
     raw = pack_news(news)
     if len(raw) > _MAX_DATAGRAM:
         state.log.write(EventCode.news_not_sent, detail='too large')
         return
     try:
-        await sock.sendto(raw, split_address(address))
+        await sender.sock.sendto(raw, split_address(address))
     except OSError as error:
         state.log.write(EventCode.news_not_sent, detail=repr(error))
+    else:
+        state.metrics.news_bytes.inc(len(raw))
+    note_sent(sender.budget, len(raw), trio.current_time())
+    pause_s = plan_send_pause_s(sender.budget, trio.current_time())
+    if pause_s:
+        await trio.sleep(pause_s)
 
 
 async def _receive(state: NodeState, exchange: NewsExchange, sock: Any) -> None:
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -1,5 +1,6 @@
 """Serves one connection of a client: requests come in, answers go out."""
 
+import errno
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -9,7 +10,11 @@
 import trio
 from turmericcrank_core.routing import ClientLimits
 
-from turmericcrank_node.http_wire import Headers, set_socket_options
+from turmericcrank_node.http_wire import (
+    CLIENT_SILENCE,
+    Headers,
+    set_socket_options,
+)
 
 __all__ = (
     'ClientExchange',
@@ -55,6 +60,8 @@
         is_started: Whether the head of the answer has been sent.
         is_whole: Whether the answer has been sent to its end.
         status: Status of the answer; 0 before its head is sent.
+        departure: How the client went away, as ``closed`` or the name of an
+            error number; empty while it is there.
     """
 
     stream: trio.SocketStream
@@ -63,6 +70,7 @@
     is_started: bool = False
     is_whole: bool = False
     status: int = 0
+    departure: str = ''
 
     async def start(
         self, status: int, headers: Headers, first: bytes = b''
@@ -110,11 +118,19 @@
             return True
         try:
             await self.stream.send_all(raw)
-        except _BROKEN:
+        except _BROKEN as error:
+            self.departure = _name_break(error)
             return False
         return True
 
 
+def _name_break(error: Exception) -> str:
+    """Name the error number that has ended a connection."""
+    cause = error.__cause__ or error
+    number = getattr(cause, 'errno', None)
+    return errno.errorcode.get(number, type(cause).__name__)
+
+
 AnswerRequest = Callable[[ClientRequest, ClientExchange], Awaitable[None]]
 
 
@@ -148,7 +164,7 @@
     policy: ConnectionPolicy, stream: trio.SocketStream
 ) -> None:
     """Serve the requests of one connection until it closes."""
-    set_socket_options(stream.socket)
+    set_socket_options(stream.socket, CLIENT_SILENCE)
     limits = policy.limits()
     parser = h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -174,7 +190,9 @@
         connection.stream, connection.parser, policy.is_closing()
     )
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_watch_client, connection, nursery.cancel_scope)
+        nursery.start_soon(
+            _watch_client, connection, exchange, nursery.cancel_scope
+        )
         await policy.answer(request, exchange)
         nursery.cancel_scope.cancel()
     if not exchange.is_whole:
@@ -188,16 +206,18 @@
 
 
 async def _watch_client(
-    connection: _Connection, scope: trio.CancelScope
+    connection: _Connection, exchange: ClientExchange, scope: trio.CancelScope
 ) -> None:
     """Cancel the request when its client closes the connection."""
     n_bytes = 0
     while n_bytes < _MAX_EARLY_BYTES:
         try:
             received = await connection.stream.receive_some(_READ_BYTES)
-        except _BROKEN:
+        except _BROKEN as error:
             received = b''
+            exchange.departure = _name_break(error)
         if not received:
+            exchange.departure = exchange.departure or 'closed'
             scope.cancel()
             return
         connection.early.append(received)
--- a/packages/node/src/turmericcrank_node/serving/plain_call.py
+++ b/packages/node/src/turmericcrank_node/serving/plain_call.py
@@ -1,6 +1,7 @@
 """Answers one call of a plain service with a whole response."""
 
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 
 import trio
@@ -18,7 +19,7 @@
     is_slow_answer,
     judge_attempt,
     look_after_fault,
-    may_follow,
+    may_retry_now,
     may_send,
     refuse_fault,
     time_left_s,
@@ -29,6 +30,10 @@
     FaultKind,
     open_attempt,
 )
+from turmericcrank_node.upstreams.upstream_wait import (
+    WaitLimits,
+    wait_for_upstream,
+)
 
 __all__ = ('answer_plain_call',)
 
@@ -36,6 +41,7 @@
 _MAX_SENDINGS = 4
 _FIRST_TRY_SHARE = 0.45
 _FAST_S = 0.05
+_LATE_S = 10
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,7 +65,11 @@
     with trio.CancelScope(shield=is_kept):
         outcome = await _try_upstreams(state, work)
         if isinstance(outcome, _Whole):
-            await exchange.answer(outcome.status, outcome.headers, outcome.body)
+            # A late answer is delivered too, to a client that still reads.
+            with trio.move_on_after(max(0, time_left_s(work)) + _LATE_S):
+                await exchange.answer(
+                    outcome.status, outcome.headers, outcome.body
+                )
             state.log.write(
                 EventCode.request_answered,
                 request=work.call.request_id,
@@ -120,21 +130,24 @@
     state: NodeState, work: Work, upstream: ListedUpstream
 ) -> _Whole | AttemptFault:
     left_s = time_left_s(work)
-    wait_s = left_s
-    if may_follow(work):
-        wait_s = left_s * _FIRST_TRY_SHARE
     sending = Sending(
         upstream.upstream_id,
         work.team.name,
         left_s,
         priority=None,
     )
-    outcome: _Whole | AttemptFault = AttemptFault(
-        FaultKind.unknown, 'no response in time'
-    )
     sent_s = trio.current_time()
-    with trio.move_on_after(wait_s):
-        outcome = await _exchange(state, work, upstream, sending, wait_s)
+    outcome: _Whole | AttemptFault = await wait_for_upstream(
+        state,
+        WaitLimits(
+            left_s * _FIRST_TRY_SHARE,
+            left_s,
+            lambda: work.route.is_repeatable,
+            partial(may_retry_now, state, work),
+        ),
+        upstream,
+        partial(_exchange, state, work, upstream, sending),
+    )
     work.n_sent += _is_sent(outcome)
     needed_s = trio.current_time() - sent_s
     state.metrics.head_s.labels(upstream.service, upstream.version).observe(
@@ -149,9 +162,8 @@
     work: Work,
     upstream: ListedUpstream,
     sending: Sending,
-    wait_s: float,
 ) -> _Whole | AttemptFault:
-    opened = await open_attempt(state, work.call, sending, upstream, wait_s)
+    opened = await open_attempt(state, work.call, sending, upstream)
     if isinstance(opened, AttemptFault):
         return opened
     try:
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -7,6 +7,7 @@
 """
 
 import statistics
+from functools import partial
 from http import HTTPStatus
 
 import trio
@@ -38,7 +39,7 @@
     is_slow_answer,
     judge_attempt,
     look_after_fault,
-    may_follow,
+    may_retry_now,
     may_send,
     refuse_fault,
     time_left_s,
@@ -50,6 +51,10 @@
     FaultKind,
     open_attempt,
 )
+from turmericcrank_node.upstreams.upstream_wait import (
+    WaitLimits,
+    wait_for_upstream,
+)
 
 __all__ = ('answer_stream_call',)
 
@@ -72,21 +77,25 @@
     progress = StreamProgress(Ladder(models), work.call.last_event_id)
     kept = await _try_upstreams(state, work, exchange, progress)
     if isinstance(kept, Done):
-        _log_end(state, work, progress, EventCode.request_answered)
+        _log_end(state, work, progress, exchange, EventCode.request_answered)
     elif exchange.is_started:
-        _log_end(state, work, progress, EventCode.stream_broken)
+        _log_end(state, work, progress, exchange, EventCode.stream_broken)
     elif isinstance(kept, Failed):
         await exchange.answer(
             kept.answering.status, kept.answering.head.headers, kept.body
         )
-        _log_end(state, work, progress, EventCode.request_answered)
+        _log_end(state, work, progress, exchange, EventCode.request_answered)
     else:
         fault = kept if isinstance(kept, AttemptFault) else _DOUBTED
         await refuse_fault(state, work, exchange, fault)
 
 
 def _log_end(
-    state: NodeState, work: Work, progress: StreamProgress, code: EventCode
+    state: NodeState,
+    work: Work,
+    progress: StreamProgress,
+    exchange: ClientExchange,
+    code: EventCode,
 ) -> None:
     state.log.write(
         code,
@@ -95,6 +104,7 @@
         sent=work.n_sent,
         last_event=progress.last_event_id,
         client_gone=progress.is_client_gone,
+        departure=exchange.departure,
         left_s=round(time_left_s(work), 3),
     )
 
@@ -204,8 +214,18 @@
     sending: Sending,
 ) -> StreamOutcome:
     sent_s = trio.current_time()
-    wait_s = _plan_head_s(work, sending.time_left_s)
-    opened = await open_attempt(state, work.call, sending, upstream, wait_s)
+    limits = WaitLimits(
+        _plan_head_s(work, sending.time_left_s),
+        sending.time_left_s,
+        lambda: work.route.is_repeatable,
+        partial(may_retry_now, state, work),
+    )
+    opened = await wait_for_upstream(
+        state,
+        limits,
+        upstream,
+        partial(open_attempt, state, work.call, sending, upstream),
+    )
     if not isinstance(opened, Answering):
         return opened
     work.n_sent += 1
@@ -242,8 +262,6 @@
     A request that waits in the queue of a live engine waits on: another
     engine would put it at the end of its own queue.
     """
-    if not may_follow(work):
-        return left_s
     return max(work.route.objective_s, left_s * _HEAD_SHARE)
 
 
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -1,6 +1,8 @@
 """Passes the events of one upstream on to a client, whole and as they come."""
 
+import math
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 from turmericcrank_core.event_codes import EventCode
@@ -33,14 +35,19 @@
     Work,
     may_follow,
     may_retry,
+    may_retry_now,
     time_left_s,
 )
 from turmericcrank_node.state.node_state import NodeState, read_boot_s
 from turmericcrank_node.upstreams.attempt import (
+    NO_EVENT,
     Answering,
     AttemptFault,
     FaultKind,
-    is_host_silent,
+)
+from turmericcrank_node.upstreams.upstream_wait import (
+    WaitLimits,
+    wait_for_upstream,
 )
 
 __all__ = ('Relay', 'relay_stream')
@@ -72,14 +79,6 @@
     answering: Answering
 
 
-@dataclass(slots=True, frozen=True)
-class _Stalled:
-    """The upstream is silent and another one may take over."""
-
-
-_STALLED = _Stalled()
-
-
 async def relay_stream(state: NodeState, relay: Relay) -> StreamOutcome:
     """Pass the events of one upstream on until they end."""
     if not is_success(relay.answering.status):
@@ -91,9 +90,9 @@
     relay.progress.splitter = splitter
     event_s = trio.current_time()
     while True:
-        part = await _read_part(relay, event_s)
-        if isinstance(part, _Stalled):
-            return AttemptFault(FaultKind.unknown, 'stalled')
+        part = await _read_part(state, relay, event_s)
+        if isinstance(part, AttemptFault):
+            return part
         if isinstance(part, ReadFault):
             return AttemptFault(FaultKind.unknown, part.value)
         if part is None:
@@ -117,26 +116,35 @@
 
 
 async def _read_part(
-    relay: Relay, event_s: float
-) -> bytes | ReadFault | _Stalled | None:
+    state: NodeState, relay: Relay, event_s: float
+) -> bytes | ReadFault | AttemptFault | None:
     """Read the next part of a stream, however long it takes.
 
-    A pause ends the attempt only when another one may follow: at once if
+    A pause ends the attempt only when another one would follow: at once if
     the host does not respond, else after a long time without an event,
     whether or not single bytes arrive.
 
     Args:
+        state: The node.
         relay: The two ends of the stream.
         event_s: When the last whole event came, on trio's clock.
     """
-    while True:
-        is_late = trio.current_time() - event_s >= _MAX_PAUSE_S
-        if is_late and may_follow(relay.work):
-            return _STALLED
-        with trio.move_on_after(_LOOK_S):
-            return await read_body_part(relay.answering.connection)
-        if may_follow(relay.work) and await is_host_silent(relay.upstream):
-            return _STALLED
+    may_end = partial(may_retry_now, state, relay.work)
+    late_s = event_s + _MAX_PAUSE_S
+    if trio.current_time() >= late_s and may_end():
+        return AttemptFault(FaultKind.unknown, NO_EVENT)
+    read = partial(read_body_part, relay.answering.connection)
+    with trio.move_on_after(_LOOK_S):
+        return await read()
+    limits = WaitLimits(
+        usual_s=late_s - trio.current_time(),
+        left_s=math.inf,
+        may_end_silent=may_end,
+        may_end_slow=may_end,
+        slow_reason=NO_EVENT,
+        first_look_s=0,
+    )
+    return await wait_for_upstream(state, limits, relay.upstream, read)
 
 
 def _plan_step(state: NodeState, relay: Relay) -> int | None:
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/upstreams/host_probe.py
@@ -0,0 +1,112 @@
+"""Looks whether the host of an upstream is there.
+
+A connection that is not made in time says as much of this node's own link
+as of the other host, so it is tried again beside some other hosts.
+"""
+
+import enum
+from collections.abc import Iterator
+
+import trio
+from turmericcrank_core.network_address import split_address
+from turmericcrank_core.outcomes import is_resting
+from turmericcrank_core.upstream_rows import ListedUpstream
+
+from turmericcrank_node.http_wire import ConnectFault, connect_upstream
+from turmericcrank_node.state.node_state import NodeState, read_boot_s
+
+__all__ = ('HostSign', 'is_host_silent', 'look_at_host')
+
+_CONNECT_S = 0.4
+_MAX_OTHERS = 2
+
+
+class HostSign(enum.StrEnum):
+    """What is seen of the host of an upstream."""
+
+    takes = 'takes'
+    refuses = 'refuses'
+    silent = 'silent'
+    unknown = 'unknown'
+
+
+_SIGNS_BY_FAULT = {
+    None: HostSign.takes,
+    ConnectFault.refused: HostSign.refuses,
+    ConnectFault.timed_out: HostSign.silent,
+    ConnectFault.unreachable: HostSign.unknown,
+}
+
+
+async def look_at_host(state: NodeState, upstream: ListedUpstream) -> HostSign:
+    """Try a connection to an upstream, and again beside others if need be.
+
+    Returns:
+        ``unknown`` when neither it nor the others were reached: then this
+        node's own link may be full or cut.
+    """
+    fault = await _probe(upstream)
+    if fault is not None and fault is not ConnectFault.refused:
+        fault = await _probe_beside_others(state, upstream)
+    return _SIGNS_BY_FAULT[fault]
+
+
+async def _probe_beside_others(
+    state: NodeState, upstream: ListedUpstream
+) -> ConnectFault | None:
+    """Try a connection again; ``unreachable`` when no other is made either."""
+    fault_by_id: dict[str, ConnectFault | None] = {}
+
+    async def note_probe(one: ListedUpstream) -> None:
+        fault_by_id[one.upstream_id] = await _probe(one)
+
+    async with trio.open_nursery() as nursery:
+        for one in (upstream, *_choose_others(state, upstream)):
+            nursery.start_soon(note_probe, one)
+    fault = fault_by_id.pop(upstream.upstream_id)
+    if fault is None or fault is ConnectFault.refused:
+        return fault
+    is_any_reached = any(
+        other is None or other is ConnectFault.refused
+        for other in fault_by_id.values()
+    )
+    if is_any_reached:
+        return ConnectFault.timed_out
+    return ConnectFault.unreachable
+
+
+async def is_host_silent(state: NodeState, upstream: ListedUpstream) -> bool:
+    """Tell whether the host of an upstream does not respond at all.
+
+    One that refuses may be full or about to leave, and still answer the
+    requests that it has.
+    """
+    return await look_at_host(state, upstream) is HostSign.silent
+
+
+async def _probe(upstream: ListedUpstream) -> ConnectFault | None:
+    host, port = split_address(upstream.address)
+    probe = await connect_upstream(host, port, _CONNECT_S)
+    if isinstance(probe, ConnectFault):
+        return probe
+    probe.abort()
+    return None
+
+
+def _choose_others(
+    state: NodeState, upstream: ListedUpstream
+) -> list[ListedUpstream]:
+    """Choose a few upstreams at random that were not silent of late."""
+    others = list(_iter_others(state, upstream.address))
+    count = min(_MAX_OTHERS, len(others))
+    return state.random_source.sample(others, count)
+
+
+def _iter_others(
+    state: NodeState, but_address: str
+) -> Iterator[ListedUpstream]:
+    now_s = read_boot_s()
+    for one in state.listed.by_id.values():
+        is_out = is_resting(state.outcomes, one.upstream_id, now_s)
+        if one.address != but_address and not is_out:
+            yield one
--- a/tests/membership/test_mesh.py
+++ b/tests/membership/test_mesh.py
@@ -1,11 +1,15 @@
 """How news reach all nodes, and what they cost, with few and many nodes."""
 
+import random
+from collections import Counter
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from turmericcrank_core.membership import plan_rank
 from turmericcrank_core.mesh import plan_digest_pause_s
 from turmericcrank_core.proofs import (
+    is_behind,
     note_reading,
     plan_read_age_s,
     proof_age_s,
@@ -28,6 +32,9 @@
 _MANY = {'north': 17, 'south': 16, 'east': 15, 'west': 17}
 _FEW = {'north': 3, 'south': 2, 'east': 2}
 _BUDGET_BYTES_PER_S = 9000
+# A quarter of the slowest link of the sites, 5 Mbit/s.
+_NEWS_BYTES_PER_S = 5_000_000 / 8 / 4
+_CHANGE_PAUSE_S = 0.05
 
 
 def _knows_all(play):
@@ -74,11 +81,11 @@
     play = play_start(_MANY, for_s=6)
     play.sent.clear()
     play.play(8)
-    n_bytes = sum(size for _, _, size in play.sent)
+    n_bytes = sum(message.n_bytes for message in play.sent)
     across = sum(
-        size
-        for sender, receiver, size in play.sent
-        if sender.data_centre != receiver.data_centre
+        message.n_bytes
+        for message in play.sent
+        if message.sender.data_centre != message.receiver.data_centre
     )
     assert n_bytes / len(play.nodes) / 8 < _BUDGET_BYTES_PER_S
     assert across < n_bytes / 10
@@ -103,9 +110,9 @@
 def test_the_loss_of_the_nodes_between_cells_is_made_good():
     play = play_start(_MANY)
     between = {
-        sender.node_id: sender
-        for sender, receiver, _ in play.sent[-2000:]
-        if sender.data_centre != receiver.data_centre
+        message.sender.node_id: message.sender
+        for message in play.sent[-2000:]
+        if message.sender.data_centre != message.receiver.data_centre
     }
     for node in between.values():
         play.kill(node)
@@ -227,6 +234,75 @@
     assert versions == {5}
 
 
+def _tell_changes(play, sizes):
+    """Let the node that reads find one changed row after the other."""
+    reader = next(_find_reader(play)).state
+    luck = random.Random(len(sizes))
+    first = reader.upstream_proof.read_version + 1
+    for change, row_bytes in enumerate(sizes, first):
+        row = ChangedRow(f'u{change}', change, luck.randbytes(row_bytes))
+        page = FeedPage((row,), change, 0)
+        keep_page(reader, make_read_page(1, change - 1, page, play.now_s))
+        note_reading(reader.upstream_proof, change, change, play.now_s)
+        reader.want_news()
+        play.play(_CHANGE_PAUSE_S)
+    return reader.upstream_proof.read_version
+
+
+_ROWS = (250,) * 45
+_CONFIGURATION = (7500,)
+_MIXED = _ROWS[:20] + _CONFIGURATION + _ROWS[20:]
+
+
+@pytest.mark.parametrize('sizes', [_ROWS, _CONFIGURATION])
+def test_a_burst_of_changes_leaves_the_links_to_clients(sizes):
+    """Replays incident inc1: the upstreams of a roll-out leave the list."""
+    play = play_start(_MANY)
+    play.sent.clear()
+    began_s = play.now_s
+    version = _tell_changes(play, sizes)
+    play.play(2)
+    n_by_second = Counter()
+    for message in play.sent:
+        second = int(message.sent_s - began_s)
+        n_by_second[message.sender.node_id, second] += message.n_bytes
+    assert max(n_by_second.values()) < _NEWS_BYTES_PER_S
+    versions = {node.state.upstream_proof.read_version for node in play.nodes}
+    assert versions == {version}
+
+
+@pytest.mark.parametrize('sizes', [_ROWS, _MIXED, _CONFIGURATION * 3])
+def test_no_node_falls_silent_while_changes_wait_for_the_link(sizes):
+    """Who is not told of a change in time knows of it, and reads the store."""
+    play = play_start(_MANY, for_s=6)
+    for node in play.nodes:
+        node.state.log.events.clear()
+    version = _tell_changes(play, sizes)
+    play.play(1)
+    for node in play.nodes:
+        proof = node.state.upstream_proof
+        assert proof.read_version == version or is_behind(proof)
+    play.play(1)
+    for node in play.nodes:
+        assert 'member_silent' not in node.state.log.names()
+
+
+def test_a_roll_back_is_heard_while_changes_wait_for_the_link():
+    play = play_start(_MANY, for_s=8)
+    _begin_rollout(play)
+    _tell_changes(play, _CONFIGURATION * 3)
+    first = next(_find_reader(play)).state
+    first.rollouts_by_service['engine'] = make_rollout(
+        RolloutPhase.rolled_back, play.now_s
+    )
+    first.want_news()
+    play.play(1)
+    phases = {
+        node.state.rollouts_by_service['engine'].phase for node in play.nodes
+    }
+    assert phases == {RolloutPhase.rolled_back}
+
+
 def _last_cell(log):
     cells = [
         fields['cell'] for name, fields in log.events if name == 'cell_changed'
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -1,17 +1,21 @@
 """Scripted upstreams, and the bytes that they send."""
 
 import contextlib
+import socket
 from dataclasses import dataclass, field
 
 import trio
 
+_QUEUE_LENGTH = 3
+
 
 @dataclass
 class FakeUpstream:
     """An upstream that plays one script for each connection.
 
     A script is a list of steps: bytes to send, seconds to wait as a float,
-    or 'close' or 'reset', or 'leave' to refuse further connections.
+    or 'close' or 'reset', or 'leave' to refuse further connections, or
+    'hush' to let them hang as if the host were gone.
     ``{id}`` in bytes is the id of the request.
     """
 
@@ -20,11 +24,14 @@
     closed_s: list = field(default_factory=list)
     address: str = ''
     listening: trio.CancelScope = field(default_factory=trio.CancelScope)
+    listener: socket.socket | None = None
+    hanging: list = field(default_factory=list)
 
     async def serve(self, task_status):
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         host, port = listeners[0].socket.getsockname()
         self.address = f'{host}:{port}'
+        self.listener = _copy_socket(listeners[0].socket)
         async with trio.open_nursery() as answering:
             with self.listening:
                 await trio.serve_listeners(
@@ -34,6 +41,21 @@
                     task_status=task_status,
                 )
 
+    def leave(self):
+        """Refuse further connections."""
+        self.listener.close()
+        self.listening.cancel()
+
+    def hush(self):
+        """Accept nothing more, and fill the queue of new connections."""
+        self.listening.cancel()
+        self.listener.listen(0)
+        for _ in range(_QUEUE_LENGTH):
+            caller = socket.socket()
+            caller.setblocking(False)
+            caller.connect_ex(self.listener.getsockname())
+            self.hanging.append(caller)
+
     async def _answer(self, stream):
         head = b''
         while b'\r\n\r\n' not in head:
@@ -63,22 +85,32 @@
         for step in script:
             if isinstance(step, float):
                 await trio.sleep(step)
-            elif step == 'leave':
-                self.listening.cancel()
-            elif step == 'reset':
-                stream.setsockopt(
-                    trio.socket.SOL_SOCKET,
-                    trio.socket.SO_LINGER,
-                    b'\1\0\0\0\0\0\0\0',
-                )
-                stream.socket.close()
-                return
-            elif step != 'close':
+            elif isinstance(step, bytes):
                 raw = step.replace(b'{id}', request_id.encode())
                 with contextlib.suppress(trio.BrokenResourceError):
                     await stream.send_all(raw)
+            else:
+                self._act(stream, step)
         await stream.aclose()
 
+    def _act(self, stream, step):
+        if step == 'leave':
+            self.leave()
+        elif step == 'hush':
+            self.hush()
+        elif step == 'reset':
+            stream.setsockopt(
+                trio.socket.SOL_SOCKET,
+                trio.socket.SO_LINGER,
+                b'\1\0\0\0\0\0\0\0',
+            )
+            stream.socket.close()
+
+
+def _copy_socket(listening):
+    """Keep a port open after trio has closed its listener."""
+    return socket.socket(fileno=listening.dup().detach())
+
 
 def _read_head(head):
     lines = head.partition(b'\r\n\r\n')[0].decode().split('\r\n')
