--- a/packages/node/src/turmericcrank_node/membership/node_news.py
+++ b/packages/node/src/turmericcrank_node/membership/node_news.py
@@ -1,9 +1,9 @@
 """The message by which nodes tell each other what they know.
 
 It is one datagram, packed as msgpack. Counts in it only grow, times are
-ages, and each message repeats what is recent, so a lost or repeated one
-does no harm. Bytes of another form are no message: each field is checked
-while it is unpacked, so that nothing else has to expect a wrong type.
+ages, and what a lost one told is told again, so a lost or repeated one does
+no harm. Bytes of another form are no message: each field is checked while it
+is unpacked, so that nothing else has to expect a wrong type.
 """
 
 import zlib
