--- a/packages/dev/src/turmericcrank_dev/known_red.py
+++ b/packages/dev/src/turmericcrank_dev/known_red.py
@@ -13,6 +13,7 @@
 
 _LIST_PATH = pathlib.Path('KNOWN-RED.txt')
 _SEPARATOR = ' | '
+_N_PROCESSES = 4
 
 
 def read_known_red() -> list[str]:
@@ -26,7 +27,7 @@
 def main() -> int:
     """Run the tests; the exit code of pytest."""
     entries = read_known_red()
-    arguments = ['tests', '--quiet']
+    arguments = ['tests', '--quiet', f'-n{_N_PROCESSES}']
     for entry in entries:
         test_id, _, _ = entry.partition(_SEPARATOR)
         arguments.extend(('--deselect', test_id))
