Keep an answer to a claim though its bill is there already

Cause: when another writer has the bill's row first, the transaction is tried again with the claim's row alone, and its one outcome was read as two. Change: any number of outcomes of bills is read. Before: test_an_answer_is_kept_though_its_bill_is_there_already failed with ValueError; it passes.

--- a/packages/node/src/turmericcrank_node/api/claims.py
+++ b/packages/node/src/turmericcrank_node/api/claims.py
@@ -183,8 +183,9 @@
     while True:
         outcome = await ctx.store.transact(operations)
         if outcome.is_ok():
-            claim_outcome, bill_outcome = outcome.ok
-            if claim_outcome.held and not bill_outcome.held:
+            claim_outcome, *bill_outcomes = outcome.ok
+            is_billed = all(bill.held for bill in bill_outcomes)
+            if claim_outcome.held and not is_billed:
                 operations.pop()
             else:
                 ctx.log.write(EventCode.answer_kept, claim=won.key)
--- a/tests/node/test_claims.py
+++ b/tests/node/test_claims.py
@@ -3,6 +3,7 @@
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
+from turmericcrank_core.billing import write_bill
 from turmericcrank_core.claims import (
     ClaimState,
     KeptAnswer,
@@ -14,8 +15,10 @@
     WonClaim,
     finish_claim,
     give_back_claim,
+    name_claim_batch,
     win_claim,
 )
+from turmericcrank_node.state.store import Operation
 
 from tests.builders import make_bill
 from tests.fakes import (
@@ -191,6 +194,25 @@
     assert len(state.rows_by_table['bills']) == 1
 
 
+def test_an_answer_is_kept_though_its_bill_is_there_already():
+    """The writer of bills may be first; the node used to end then."""
+    state = make_state()
+    bill = make_bill(1, 'tills', _KEY)
+
+    async def main(nursery):
+        ctx = make_context(FakeStore(state), nursery=nursery)
+        won = (await win_claim(ctx, _KEY, 'body', 10)).ok
+        batch = f'{name_claim_batch(won.key)}/0000'
+        await ctx.store.transact(
+            [Operation('bills', batch, 0, [write_bill(bill)])]
+        )
+        await finish_claim(ctx, won, _ANSWER, bill)
+        return await win_claim(ctx, _KEY, 'body', 10)
+
+    assert run(main).ok == _ANSWER
+    assert len(state.rows_by_table['bills']) == 1
+
+
 def test_store_down_is_told_at_once():
     async def main(nursery):
         store = FakeStore(make_state())
