--- a/packages/core/src/turmericcrank_core/link_budget.py
+++ b/packages/core/src/turmericcrank_core/link_budget.py
@@ -12,6 +12,7 @@
 
 __all__ = ('LinkBudget', 'note_sent', 'plan_send_pause_s')
 
+# Little enough that answers wait shorter than a late event does.
 _LINK_SHARE = 0.2
 _BURST_S = 0.06
 
--- a/packages/node/src/turmericcrank_node/upstreams/upstream_wait.py
+++ b/packages/node/src/turmericcrank_node/upstreams/upstream_wait.py
@@ -1,7 +1,8 @@
 """Waits for an upstream for as long as nothing better may be done.
 
-Silence of an upstream ends an attempt only when another one may follow it:
+Slowness of an upstream ends an attempt only when another one would follow:
 else its client gains nothing from the end, and a sound answer may still come.
+A silent host ends it also where the client itself may ask again elsewhere.
 """
 
 from collections.abc import Awaitable, Callable
