Give both upstreams of a test the script that it needs

Traced: not load. The router draws between two equal upstreams, and the second one had no script, so it closed the connection; either is right. Change: both share the script.

--- a/tests/serving/test_plain_calls.py
+++ b/tests/serving/test_plain_calls.py
@@ -201,10 +201,9 @@
 
 
 def test_a_booking_waits_for_its_answer_though_its_upstream_takes_no_calls():
-    script = ['hush', 2.6, answer_bytes(b'bay 4')]
-    idle = []
+    shared = [['hush', 2.6, answer_bytes(b'bay 4')]]
     seen, n_requests, _ = _ask(
-        CallKind.non_idempotent, [script], idle, timeout_s=9.0
+        CallKind.non_idempotent, shared, shared, timeout_s=9.0
     )
     assert n_requests == 1
     assert seen.startswith(b'HTTP/1.1 200')
