Log the request limits that upstreams name

Cause: a response may name how many requests a second its upstream takes from all VMs together; nothing read it, and neither logs nor metrics could tell whether a node had been told. Change: the adapter decodes the limit; a begin, change and end is an event (613), counted in turmericcrank_events_total, and request_sent says which limit the upstream named. What is sent where does not change.

--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -55,6 +55,7 @@
     cell_changed = 610
     upstream_deferred = 611
     news_rejected = 612
+    upstream_limit_changed = 613
     draft_kept = 700
     draft_taken = 701
     draft_finished = 702
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -176,6 +176,8 @@
         is_leaving: Whether the upstream states that it is draining.
         retry_after_s: Time for which the upstream wants no further requests
             from this node, in seconds; None if not stated.
+        request_limit_per_s: Requests per second that the upstream accepts
+            from all nodes together; None if it names no limit.
         headers: Headers that are forwarded to the client.
     """
 
@@ -185,6 +187,7 @@
     confidence: float | None
     is_leaving: bool = False
     retry_after_s: float | None = None
+    request_limit_per_s: float | None = None
     headers: Headers = field(default_factory=list)
 
 
--- a/packages/node/src/turmericcrank_node/serving/in_flight_request.py
+++ b/packages/node/src/turmericcrank_node/serving/in_flight_request.py
@@ -14,6 +14,7 @@
 )
 from turmericcrank_core.routing import ForwardRoute, Team
 from turmericcrank_core.upstream_health import record_outcome, start_ejection
+from turmericcrank_core.upstream_limits import active_limit_per_s
 from turmericcrank_core.upstream_registry import ListedUpstream
 from turmericcrank_core.version_choice import record_session
 from turmericcrank_core.version_health import is_first_token_slow
@@ -149,6 +150,7 @@
         upstream=upstream_id,
         version=upstream.version,
         running=running[upstream_id],
+        limit_per_s=active_limit_per_s(state.upstream_limits, upstream_id),
         attempt=in_flight.n_sent + 1,
         left_s=round(time_left_s(in_flight), 3),
     )
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -18,6 +18,7 @@
 from turmericcrank_core.routing import ClientLimits, RouteTable
 from turmericcrank_core.table_staleness import TableStaleness, staleness_s
 from turmericcrank_core.upstream_health import UpstreamHealth
+from turmericcrank_core.upstream_limits import UpstreamLimits
 from turmericcrank_core.upstream_notices import UpstreamNotices
 from turmericcrank_core.upstream_registry import UpstreamRegistry
 from turmericcrank_core.version_choice import KnownVersions, RecentSessions
@@ -137,6 +138,7 @@
     running_by_id: dict[str, int] = field(default_factory=dict)
     upstream_health: UpstreamHealth = field(default_factory=UpstreamHealth)
     notices: UpstreamNotices = field(default_factory=UpstreamNotices)
+    upstream_limits: UpstreamLimits = field(default_factory=UpstreamLimits)
     sessions: RecentSessions = field(default_factory=RecentSessions)
     first_token_latencies: FirstTokenLatencies = field(
         default_factory=FirstTokenLatencies
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -193,6 +193,24 @@
     assert response_head.is_signed == (status == 200)
 
 
+@pytest.mark.parametrize(
+    ('text', 'limit_per_s'),
+    [
+        (b'1.1', 1.1),
+        (b'0', 0),
+        (b'-1', None),
+        (b'nan', None),
+        (b'inf', None),
+        (b'many', None),
+        (b'', None),
+    ],
+)
+def test_a_response_names_a_request_limit_or_none(text, limit_per_s):
+    head = decode_response_head(200, [(b'server-limit', text)])
+    assert head.request_limit_per_s == limit_per_s
+    assert decode_response_head(200, []).request_limit_per_s is None
+
+
 def test_hop_by_hop_headers_of_an_upstream_are_not_forwarded():
     response_head = decode_response_head(
         200,
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -138,6 +138,7 @@
 def _decode_response_head(_status, headers):
     confidence = find_header(headers, b'confidence')
     wait = find_header(headers, b'retry-after')
+    limit = find_header(headers, b'limit')
     return ResponseInfo(
         request_id=find_header(headers, b'id'),
         is_signed=bool(find_header(headers, b'signed')),
@@ -145,6 +146,7 @@
         confidence=float(confidence) if confidence else None,
         is_leaving=bool(find_header(headers, b'leaving')),
         retry_after_s=float(wait) if wait else None,
+        request_limit_per_s=float(limit) if limit else None,
         headers=[
             pair
             for pair in headers
