--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -7,7 +7,6 @@
 import trio
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.network_address import split_address
-from turmericcrank_core.upstream_limits import record_limit
 from turmericcrank_core.upstream_notices import defer_upstream, record_leaving
 from turmericcrank_core.upstream_registry import ListedUpstream
 
@@ -26,6 +25,7 @@
     ResponseInfo,
 )
 from turmericcrank_node.state.node_state import NodeState, read_boottime_s
+from turmericcrank_node.upstreams.request_limits import process_request_limit
 
 __all__ = (
     'HOST_UNRESPONSIVE',
@@ -176,7 +176,9 @@
     if response_info.request_id and response_info.request_id != call.request_id:
         return AttemptFault(FaultKind.unknown, 'response to another request')
     _process_notices(state, upstream, response_info)
-    _process_request_limit(state, upstream, head.status, response_info)
+    process_request_limit(
+        state, upstream.upstream_id, head.status, response_info
+    )
     return _check_head(connection, head.status, response_info)
 
 
@@ -204,31 +206,6 @@
         state.request_gossip()
 
 
-def _process_request_limit(
-    state: NodeState,
-    upstream: ListedUpstream,
-    status: int,
-    response_info: ResponseInfo,
-) -> None:
-    """Record the request limit that a response names, or that it names none."""
-    if status == HTTPStatus.MISDIRECTED_REQUEST:
-        # Another upstream now has the address and sent this response.
-        return
-    limit_per_s = response_info.request_limit_per_s
-    if record_limit(
-        state.upstream_limits,
-        upstream.upstream_id,
-        limit_per_s,
-        read_boottime_s(),
-    ):
-        state.log.write(
-            EventCode.upstream_limit_changed,
-            upstream=upstream.upstream_id,
-            limit_per_s=limit_per_s,
-            source='response',
-        )
-
-
 def _check_head(
     connection: UpstreamConnection, status: int, response_info: ResponseInfo
 ) -> OpenResponse | AttemptFault:
--- a/tests/gossip_simulation.py
+++ b/tests/gossip_simulation.py
@@ -105,12 +105,18 @@
             message = make_join_message(node.state, node.gossip, self.now_s)
             self._deliver(node, seed, message)
 
+    def add(self, node):
+        self.by_address[node.state.settings.addresses.peer] = node
+
     def run(self, duration_s):
         ends_s = self.now_s + duration_s
         while self.now_s < ends_s:
-            self.now_s += _STEP_S
-            for node in self.nodes:
-                self._step_node(node)
+            self.run_step()
+
+    def run_step(self):
+        self.now_s += _STEP_S
+        for node in self.nodes:
+            self._step_node(node)
 
     def _step_node(self, node):
         is_requested = node.state.gossip_requested.is_set()
