--- a/packages/core/src/turmericcrank_core/selection.py
+++ b/packages/core/src/turmericcrank_core/selection.py
@@ -16,13 +16,17 @@
 a share of the requests may queue there (``overflow_share``).
 """
 
-import bisect
 import random
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 import xxhash
 
+from turmericcrank_core.hash_ring import (
+    HashRing,
+    build_hash_ring,
+    iter_two_owners,
+)
 from turmericcrank_core.tables import Pool, Upstream
 
 __all__ = (
@@ -110,15 +114,13 @@
         ids: Ids of the upstreams.
         preferred_ids: Ids of the upstreams in this node's cell; all of them
             when there are no cells or the cell has none of the pool.
-        points: Sorted hashes of the ring.
-        owners: Upstream of each point.
+        owners: Ring that assigns prompt prefixes to upstreams.
     """
 
     pool: Pool
     ids: tuple[str, ...]
     preferred_ids: tuple[str, ...]
-    points: tuple[int, ...]
-    owners: tuple[str, ...]
+    owners: HashRing
 
 
 @dataclass(slots=True, frozen=True)
@@ -151,11 +153,6 @@
         pool: Row of the table of pools.
         is_home: Predicate for the upstreams of the node's cell.
     """
-    pairs = sorted(
-        (_hash(f'{upstream_id}#{index}'), upstream_id)
-        for upstream_id in pool.upstreams_by_id
-        for index in range(_POINTS_PER_UPSTREAM)
-    )
     ids = tuple(pool.upstreams_by_id)
     preferred_ids = ids
     if is_home is not None:
@@ -168,8 +165,7 @@
         pool,
         ids,
         preferred_ids or ids,
-        tuple(point for point, _ in pairs),
-        tuple(owner for _, owner in pairs),
+        build_hash_ring(ids, _POINTS_PER_UPSTREAM),
     )
 
 
@@ -298,7 +294,7 @@
         if recent_id in ring.pool.upstreams_by_id:
             yield recent_id
     if criteria.prefix_key and not criteria.recent_upstream_ids:
-        yield from _iter_ring_owners(ring, criteria.prefix_key)
+        yield from iter_two_owners(ring.owners, criteria.prefix_key)
 
 
 def _make_usable_filter(
@@ -355,17 +351,5 @@
     return random_source.sample(ids, n_candidates)
 
 
-def _iter_ring_owners(ring: PoolHashRing, prefix_key: str) -> Iterator[str]:
-    start = bisect.bisect(ring.points, _hash(prefix_key))
-    n_points = len(ring.points)
-    first = ring.owners[start % n_points]
-    yield first
-    for step in range(1, n_points):
-        owner = ring.owners[(start + step) % n_points]
-        if owner != first:
-            yield owner
-            return
-
-
 def _hash(text: str) -> int:
     return xxhash.xxh3_64_intdigest(text.encode())
