Keep an unsure answer when no upstream takes the larger model

Seen in a test: with the only upstream at its limit, an answer of low confidence was discarded and the client got 502, as the request for the larger model had nowhere to go. The same could happen when all upstreams are deferred. Cause: the escalation was planned without looking for an upstream. Change: it is planned only if an upstream would take the request now. The test failed before (502 after one request) and passes now.

--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -49,6 +49,7 @@
     WaitLimits,
     wait_for_upstream,
 )
+from turmericcrank_node.upstreams.upstream_selection import select_upstream
 
 __all__ = ('Relay', 'relay_stream')
 
@@ -177,16 +178,20 @@
         objective_s=in_flight.route.objective_s,
     )
     step = plan_escalation(escalation, escalation_inputs, _ESCALATION_SETTINGS)
-    if step is not None:
-        state.log.write(
-            EventCode.answer_doubted,
-            request=in_flight.call.request_id,
-            model=current_model(escalation),
-            confidence=escalation_inputs.confidence,
-            elapsed_s=round(escalation_inputs.elapsed_s, 3),
-            larger_s=round(escalation_inputs.larger_first_event_s, 3),
-            left_s=round(time_left_s(in_flight), 3),
-        )
+    if step is None:
+        return None
+    if select_upstream(state, in_flight.requirements, frozenset()) is None:
+        # All upstreams are at their limits: the answer at hand is kept.
+        return None
+    state.log.write(
+        EventCode.answer_doubted,
+        request=in_flight.call.request_id,
+        model=current_model(escalation),
+        confidence=escalation_inputs.confidence,
+        elapsed_s=round(escalation_inputs.elapsed_s, 3),
+        larger_s=round(escalation_inputs.larger_first_event_s, 3),
+        left_s=round(time_left_s(in_flight), 3),
+    )
     return step
 
 
--- a/tests/serving/test_limited_upstreams.py
+++ b/tests/serving/test_limited_upstreams.py
@@ -14,7 +14,12 @@
     request_bytes,
     start_upstreams,
 )
-from tests.upstream_fakes import response_bytes
+from tests.upstream_fakes import (
+    END_CHUNK,
+    event_chunk,
+    response_bytes,
+    stream_head,
+)
 
 _LIMITED = [response_bytes(limit='2')]
 _FREE = [response_bytes()]
@@ -90,3 +95,24 @@
     failed = [response_bytes(status=500, limit='2')]
     _, _, n_requests = _call_repeatedly(40, 0.05, [failed] * 60, [failed] * 60)
     assert max(n_requests) <= 12
+
+
+def test_an_unsure_answer_is_kept_when_no_upstream_takes_another_request():
+    """Its larger model would have to run beyond the limit of the upstream."""
+    unsure = stream_head(confidence='3', limit='0')
+    script = [unsure, event_chunk(1), END_CHUNK]
+
+    async def main():
+        state = _make_settled_state(make_route(models=('small', 'large')))
+        async with trio.open_nursery() as nursery:
+            fakes = await start_upstreams(nursery, state, [script] * 4)
+            client = await open_client(nursery, state)
+            await client.send_all(request_bytes())
+            response = await read_until(client, END_CHUNK)
+            nursery.cancel_scope.cancel()
+        return response, len(fakes[0].requests)
+
+    response, n_requests = trio.run(main)
+    assert response.startswith(b'HTTP/1.1 200')
+    assert response.endswith(END_CHUNK)
+    assert n_requests == 1
