Keep the parts of the retry budget when nodes lose each other

The fixed part of the budget was divided by the nodes that respond, at least 1 for each. Change: it is divided by all nodes known within the last minute, as request limits are; a node that hears nobody keeps its part; a process that started within the window gets nothing of the fixed part, since the one before it may have used it. No part is rounded up to 1.

--- a/packages/core/src/turmericcrank_core/retry_windows.py
+++ b/packages/core/src/turmericcrank_core/retry_windows.py
@@ -3,8 +3,7 @@
 In any window a site allows retries in proportion to the first attempts of
 that window, plus a fixed number. Each node is limited by its own first
 attempts and its part of the fixed number, so all nodes together stay within
-the limit of the site without coordination, as long as there are no more
-nodes than the fixed number; each node's part is at least 1.
+the limit of the site without coordination.
 
 Load pattern: an upstream crashes, or a burst of answers has a low
 confidence, so that a node needs within one second the retries that it has
@@ -30,7 +29,7 @@
 
     Attributes:
         ratio: Retries allowed per first attempt in the window.
-        slack: Additional retries allowed per window, at least 1.
+        slack: Additional retries allowed per window.
         window_s: Length of the window, in seconds.
     """
 
--- a/packages/core/src/turmericcrank_core/send_permits.py
+++ b/packages/core/src/turmericcrank_core/send_permits.py
@@ -20,12 +20,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from turmericcrank_core.hash_ring import HashRing
 from turmericcrank_core.routing import hash_uniform
 
 __all__ = (
     'PermitLedger',
-    'PermitOwners',
     'SendPermits',
     'count_permits',
     'drop_permits',
@@ -77,22 +75,6 @@
     ledgers_by_id: dict[str, PermitLedger] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class PermitOwners:
-    """Nodes between which the permits are shared.
-
-    Attributes:
-        node_ids: Ids of the nodes, this one included.
-        ring: Assigns a permit to one of them.
-        checked_s: When the nodes were last compared with the known ones, in
-            seconds.
-    """
-
-    node_ids: frozenset[str] = frozenset()
-    ring: HashRing = HashRing()
-    checked_s: float = 0
-
-
 def refresh_permits(
     permits: SendPermits,
     upstream_id: str,
--- a/packages/node/src/turmericcrank_node/membership/gossip_rounds.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_rounds.py
@@ -27,6 +27,7 @@
 )
 from turmericcrank_node.membership.gossip_merge import merge_message
 from turmericcrank_node.membership.gossip_message import GossipMessage
+from turmericcrank_node.membership.limit_shares import refresh_sharing_nodes
 from turmericcrank_node.state.node_state import NodeState, describe_self
 
 __all__ = (
@@ -104,6 +105,7 @@
     if now_s - gossip.round_s > _MAX_PAUSE_S:
         state.joined_s = now_s
     gossip.round_s = now_s
+    refresh_sharing_nodes(state)
     _expire_state(state, gossip, now_s)
     plan = plan_gossip(state.members, describe_self(state), now_s)
     _apply_plan(state, plan)
--- a/packages/node/src/turmericcrank_node/serving/in_flight_request.py
+++ b/packages/node/src/turmericcrank_node/serving/in_flight_request.py
@@ -5,7 +5,6 @@
 import trio
 from turmericcrank_core.codes import CODES, ResultCode
 from turmericcrank_core.event_codes import EventCode
-from turmericcrank_core.membership import iter_alive
 from turmericcrank_core.retry_windows import (
     RetryLimits,
     RetryWindow,
@@ -22,6 +21,10 @@
 from turmericcrank_node.control.version_evidence import (
     record_version_response,
 )
+from turmericcrank_node.membership.limit_shares import (
+    is_member_for,
+    refresh_sharing_nodes,
+)
 from turmericcrank_node.platform_port import DecodedRequest
 from turmericcrank_node.serving.client_connection import ClientExchange
 from turmericcrank_node.state.node_state import NodeState, read_boottime_s
@@ -323,8 +326,9 @@
 ) -> bool:
     """Return whether the retry budget allows a retry.
 
-    The fixed part of the site's retry budget is divided among the nodes
-    that this node considers alive; each node gets at least one retry.
+    The fixed part of the site's retry budget is divided among all nodes. A
+    node that started within the window gets nothing of it, as the process
+    before it may have used its part.
 
     Args:
         state: The node.
@@ -333,12 +337,10 @@
     """
     now_s = read_boottime_s()
     bounds = state.settings.bounds
-    n_nodes = 1 + sum(1 for _ in iter_alive(state.members, now_s))
-    limits = RetryLimits(
-        bounds.retry_ratio,
-        max(1, bounds.retry_slack / n_nodes),
-        bounds.retry_window_s,
-    )
+    slack = 0.0
+    if is_member_for(state, bounds.retry_window_s):
+        slack = bounds.retry_slack / len(refresh_sharing_nodes(state).node_ids)
+    limits = RetryLimits(bounds.retry_ratio, slack, bounds.retry_window_s)
     window = find_retry_window(state, service)
     return count_retries_left(window, limits, now_s) >= 1 + n_reserved
 
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -17,7 +17,8 @@
 from turmericcrank_core.retry_windows import RetryWindow
 from turmericcrank_core.rollout_phases import RolloutState
 from turmericcrank_core.routing import ClientLimits, RouteTable
-from turmericcrank_core.send_permits import PermitOwners, SendPermits
+from turmericcrank_core.send_permits import SendPermits
+from turmericcrank_core.sharing_nodes import SharingNodes
 from turmericcrank_core.table_staleness import TableStaleness, staleness_s
 from turmericcrank_core.upstream_health import UpstreamHealth
 from turmericcrank_core.upstream_limits import UpstreamLimits
@@ -151,7 +152,7 @@
     notices: UpstreamNotices = field(default_factory=UpstreamNotices)
     upstream_limits: UpstreamLimits = field(default_factory=UpstreamLimits)
     send_permits: SendPermits = field(default_factory=SendPermits)
-    permit_owners: PermitOwners = field(default_factory=PermitOwners)
+    sharing_nodes: SharingNodes = field(default_factory=SharingNodes)
     sessions: RecentSessions = field(default_factory=RecentSessions)
     first_token_latencies: FirstTokenLatencies = field(
         default_factory=FirstTokenLatencies
--- a/packages/node/src/turmericcrank_node/upstreams/request_limits.py
+++ b/packages/node/src/turmericcrank_node/upstreams/request_limits.py
@@ -1,21 +1,19 @@
 """Keeps the request limits that upstreams name, together with all nodes.
 
-The limit of an upstream is shared between all nodes that this node has heard
-of within the last minute, whether they respond or not: a node that is cut off
-keeps sending its own part only. A node that has just started, or was
-suspended, knows too few nodes and waits until it has heard of all.
+A node that has just started, or was suspended, may know too few nodes; it
+sends nothing to a limited upstream until it has heard of all.
 """
 
 from http import HTTPStatus
 
 from turmericcrank_core.event_codes import EventCode
-from turmericcrank_core.hash_ring import build_hash_ring, find_owner
-from turmericcrank_core.membership import iter_alive
+from turmericcrank_core.hash_ring import find_owner
 from turmericcrank_core.send_permits import (
     drop_permits,
     refresh_permits,
     take_permit,
 )
+from turmericcrank_core.sharing_nodes import find_sharing_ring
 from turmericcrank_core.upstream_limits import (
     NamedLimit,
     is_urgent_change,
@@ -24,12 +22,12 @@
     record_limit,
 )
 
-from turmericcrank_node.platform_port import ResponseInfo
-from turmericcrank_node.state.node_state import (
-    NodeState,
-    read_boottime_s,
-    read_cluster_time_s,
+from turmericcrank_node.membership.limit_shares import (
+    is_member_for,
+    refresh_sharing_nodes,
 )
+from turmericcrank_node.platform_port import ResponseInfo
+from turmericcrank_node.state.node_state import NodeState, read_cluster_time_s
 
 __all__ = (
     'acquire_permit',
@@ -39,8 +37,6 @@
     'process_request_limit',
 )
 
-_OWNER_REFRESH_S = 1
-_POINTS_PER_NODE = 16
 _SETTLE_S = 3
 _MAX_PERMIT_WAIT_S = 3
 
@@ -98,10 +94,9 @@
     rate_per_s = plan_rate_per_s(state.upstream_limits, upstream_id, now_s)
     if rate_per_s is None:
         return True
-    if not _is_settled(state):
+    if not is_member_for(state, _SETTLE_S + state.members.gossip_interval_s):
         return False
-    _refresh_owners(state)
-    ring = state.permit_owners.ring
+    ring = find_sharing_ring(refresh_sharing_nodes(state))
     own_id = state.settings.node_id
     n_permits = refresh_permits(
         state.send_permits,
@@ -130,7 +125,7 @@
     rate_per_s = plan_rate_per_s(
         state.upstream_limits, upstream_id, read_cluster_time_s(state)
     )
-    n_nodes = max(1, len(state.permit_owners.node_ids))
+    n_nodes = len(refresh_sharing_nodes(state).node_ids)
     return min(_MAX_PERMIT_WAIT_S, n_nodes / (rate_per_s or 1))
 
 
@@ -150,24 +145,3 @@
     if is_urgent:
         drop_permits(state.send_permits, upstream_id)
     return is_urgent
-
-
-def _is_settled(state: NodeState) -> bool:
-    """Return whether this node and all others have heard of each other."""
-    settle_s = _SETTLE_S + state.members.gossip_interval_s
-    return read_boottime_s() - state.joined_s >= settle_s
-
-
-def _refresh_owners(state: NodeState) -> None:
-    """Share the permits between the nodes that are known now."""
-    owners = state.permit_owners
-    now_s = read_boottime_s()
-    if now_s - owners.checked_s < _OWNER_REFRESH_S:
-        return
-    owners.checked_s = now_s
-    is_isolated = not any(iter_alive(state.members, now_s))
-    node_ids = frozenset((*state.members.by_id, state.settings.node_id))
-    if node_ids == owners.node_ids or (is_isolated and owners.node_ids):
-        return
-    owners.node_ids = node_ids
-    owners.ring = build_hash_ring(node_ids, _POINTS_PER_NODE)
--- a/tests/gossip_simulation.py
+++ b/tests/gossip_simulation.py
@@ -179,6 +179,7 @@
     state.settings = replace(
         state.settings, data_centre=data_centre, addresses=addresses
     )
+    state.joined_s = now_s
     state.random_source.seed(state.settings.node_id)
     first_s = now_s + 0.8 * random.Random(state.settings.node_id).random()
     rate_limiter = SendRateLimiter(_LINK_BYTES_PER_S)
--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -4,6 +4,7 @@
 clock. Upstreams are modelled: each names its limit by a schedule.
 """
 
+import math
 import random
 import time
 from collections.abc import Callable
@@ -118,7 +119,8 @@
         n_requests = int(expected) + is_rounded_up
         for _ in range(n_requests):
             node = self.rng.choice(self.gossip.nodes)
-            self._send(node, _make_in_flight(self.rng, self.now_s))
+            request_id = f'{self.rng.getrandbits(64):016x}'
+            self._send(node, make_in_flight(request_id, self.now_s))
 
     def _send(self, node, in_flight):
         upstream = start_attempt(node.state, in_flight)
@@ -218,9 +220,9 @@
     return 1.5 * WINDOW_S * limit_per_s + 5
 
 
-def _make_in_flight(rng, now_s):
+def make_in_flight(request_id, now_s):
+    """Make a request in flight that is not bound to a connection."""
     request = ClientRequest(b'POST', b'/quotes/1', [], b'{}', now_s)
-    request_id = f'{rng.getrandbits(64):016x}'
     call = DecodedRequest(
         request, request_id, 'h', '/quotes/1', '', None, '', '', '', True
     )
@@ -230,6 +232,6 @@
         make_route(),
         Team('planners'),
         requirements,
-        now_s + 5,
+        math.inf,
         fingerprint=request_id,
     )
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -31,6 +31,8 @@
 from tests.router_builders import HOST, KEY, make_upstream
 from tests.upstream_fakes import FakeUpstream
 
+_MEMBER_FOR_S = 60
+
 
 @dataclass
 class FakeRows:
@@ -170,7 +172,10 @@
 
 
 def make_node_state(table, rows=None, node_id='n1'):
-    """Create the state of a node that has just read its tables."""
+    """Create the state of a node that has just read its tables.
+
+    The node has long been a member.
+    """
     settings = RouterSettings(
         node_id,
         'dc1',
@@ -181,6 +186,7 @@
     state = make_state(settings, make_fake_platform(rows))
     state.log = FakeLog()
     state.table = table
+    state.joined_s = read_boottime_s() - _MEMBER_FOR_S
     for staleness in (state.configuration_staleness, state.upstream_staleness):
         record_read(staleness, 1, 1, read_boottime_s())
     return state
--- a/tests/serving/test_limited_upstreams.py
+++ b/tests/serving/test_limited_upstreams.py
@@ -4,7 +4,6 @@
 
 import trio
 from turmericcrank_core.routing import CallKind
-from turmericcrank_node.state.node_state import read_boottime_s
 
 from tests.router_builders import make_route, make_table
 from tests.router_fakes import (
@@ -25,18 +24,11 @@
 _FREE = [response_bytes()]
 
 
-def _make_settled_state(route):
-    """Make the state of a node that has long heard of all others."""
-    state = make_node_state(make_table(route))
-    state.joined_s = read_boottime_s() - 60
-    return state
-
-
 def _call_repeatedly(n_calls, pause_s, *scripts, kind=CallKind.idempotent):
     """Send calls in sequence; return responses, times and request counts."""
 
     async def main():
-        state = _make_settled_state(make_route('bays', kind))
+        state = make_node_state(make_table(make_route('bays', kind)))
         responses, times_s = [], []
         async with trio.open_nursery() as nursery:
             fakes = await start_upstreams(nursery, state, *scripts)
@@ -103,7 +95,9 @@
     script = [unsure, event_chunk(1), END_CHUNK]
 
     async def main():
-        state = _make_settled_state(make_route(models=('small', 'large')))
+        state = make_node_state(
+            make_table(make_route(models=('small', 'large')))
+        )
         async with trio.open_nursery() as nursery:
             fakes = await start_upstreams(nursery, state, [script] * 4)
             client = await open_client(nursery, state)
