Reject text that can't be encoded where tokens and edits are decoded

Looking for the same elsewhere: an operator's edit was decoded by the standard library, which takes lone surrogates and NaN and raises RecursionError, no ValueError, for 100,000 open brackets. Change: a session token must be ASCII; edits are decoded by orjson, as model requests are, which rejects all three with an error that is handled.

--- a/packages/core/src/turmericcrank_core/sessions.py
+++ b/packages/core/src/turmericcrank_core/sessions.py
@@ -79,6 +79,9 @@
         return str(serializer.dumps(fields))
 
     def read(text: str) -> SessionToken | None:
+        if not text.isascii():
+            # Also keeps out lone surrogates, which have no bytes to verify.
+            return None
         try:
             fields = serializer.loads(text)
         except BadData:
--- a/packages/node/src/turmericcrank_node/api/admin_routes.py
+++ b/packages/node/src/turmericcrank_node/api/admin_routes.py
@@ -1,8 +1,8 @@
 """Operator endpoints: tables, change history, bills and node status."""
 
-import json
 from typing import Any
 
+import orjson
 import trio
 from expression import Error, Ok, Result
 from quart import Response, request
@@ -40,7 +40,7 @@
     read_raw_at,
 )
 
-__all__ = ('add_admin_routes',)
+__all__ = ('add_admin_routes', 'parse_edit')
 
 _MAX_HISTORY_ROWS = 50
 _MAX_BILLS_PAGE = 500
@@ -117,7 +117,7 @@
 async def _apply_tables(
     ctx: NodeContext, operator: str, body: bytes
 ) -> Result[ApiResponse, Refusal]:
-    parsed = _parse_edit(body)
+    parsed = parse_edit(body)
     if parsed.is_error():
         return Error(parsed.error)
     edit = parsed.ok
@@ -136,9 +136,10 @@
     return Error(accepted.error)
 
 
-def _parse_edit(body: bytes) -> Result[dict[str, Any], Refusal]:
+def parse_edit(body: bytes) -> Result[dict[str, Any], Refusal]:
+    """Decode the body of an operator's edit, or return what is wrong."""
     try:
-        edit = json.loads(body)
+        edit = orjson.loads(body)
     except ValueError as error:
         return Error(Refusal(ResultCode.bad_json, str(error)))
     if not isinstance(edit, dict):
--- a/packages/node/src/turmericcrank_node/api/app.py
+++ b/packages/node/src/turmericcrank_node/api/app.py
@@ -43,7 +43,7 @@
 )
 from turmericcrank_node.state.node_context import NodeContext
 
-__all__ = ('make_app',)
+__all__ = ('make_app', 'read_model_request')
 
 RequestHandler = Callable[
     [AuthenticatedClient, bytes, AdmissionPermit],
@@ -86,7 +86,7 @@
         async def handle_call(
             client: AuthenticatedClient, body: bytes, permit: AdmissionPermit
         ) -> Result[ApiResponse, Refusal]:
-            checked = _read_model_request(body)
+            checked = read_model_request(body)
             if checked.is_error():
                 return checked
             session_header = request.headers.get('X-Session-Mark', '')
@@ -125,7 +125,7 @@
         async def handle_call(
             client: AuthenticatedClient, body: bytes, _permit: AdmissionPermit
         ) -> Result[ApiResponse, Refusal]:
-            checked = _read_model_request(body)
+            checked = read_model_request(body)
             if checked.is_error():
                 return checked
             planned = plan_call(ctx, client, checked.ok, '')
@@ -257,7 +257,8 @@
     return outcomes[-1]
 
 
-def _read_model_request(body: bytes) -> Result[ModelRequest, Refusal]:
+def read_model_request(body: bytes) -> Result[ModelRequest, Refusal]:
+    """Decode the body of a model request, or return what is wrong."""
     try:
         return check_model_request(orjson.loads(body), body)
     except ValueError as error:
