Look up the nodes that share limits once a second only

Cause: each request asked for them again for each limited upstream, in time that grows with the nodes.

--- a/packages/core/src/turmericcrank_core/sharing_nodes.py
+++ b/packages/core/src/turmericcrank_core/sharing_nodes.py
@@ -12,7 +12,12 @@
 
 from turmericcrank_core.hash_ring import HashRing, build_hash_ring
 
-__all__ = ('SharingNodes', 'find_sharing_ring', 'update_sharing_nodes')
+__all__ = (
+    'SharingNodes',
+    'find_sharing_ring',
+    'is_refresh_due',
+    'update_sharing_nodes',
+)
 
 _REFRESH_INTERVAL_S = 1
 _POINTS_PER_NODE = 16
@@ -43,7 +48,7 @@
     is_isolated: bool,
     now_s: float,
 ) -> None:
-    """Share the limits between the known nodes, at most once a second.
+    """Share the limits between the known nodes.
 
     Args:
         sharing: Changed in place.
@@ -51,14 +56,21 @@
         is_isolated: Whether no other node responds.
         now_s: Current time, in seconds.
     """
-    if sharing.node_ids and now_s - sharing.checked_s < _REFRESH_INTERVAL_S:
-        return
     sharing.checked_s = now_s
     if sharing.node_ids == node_ids or (is_isolated and sharing.node_ids):
         return
     sharing.node_ids = frozenset(node_ids)
 
 
+def is_refresh_due(sharing: SharingNodes, now_s: float) -> bool:
+    """Return whether to look for other nodes, once a second.
+
+    Requests ask for the nodes far more often than these change.
+    """
+    age_s = now_s - sharing.checked_s
+    return not sharing.node_ids or age_s >= _REFRESH_INTERVAL_S
+
+
 def find_sharing_ring(sharing: SharingNodes) -> HashRing:
     """Return the ring of the nodes, built when it is first needed."""
     if sharing.ring_ids != sharing.node_ids:
--- a/packages/node/src/turmericcrank_node/membership/limit_shares.py
+++ b/packages/node/src/turmericcrank_node/membership/limit_shares.py
@@ -3,6 +3,7 @@
 from turmericcrank_core.membership import iter_alive
 from turmericcrank_core.sharing_nodes import (
     SharingNodes,
+    is_refresh_due,
     update_sharing_nodes,
 )
 
@@ -14,6 +15,8 @@
 def refresh_sharing_nodes(state: NodeState) -> SharingNodes:
     """Return the nodes that share the limits of the site now."""
     now_s = read_boottime_s()
+    if not is_refresh_due(state.sharing_nodes, now_s):
+        return state.sharing_nodes
     update_sharing_nodes(
         state.sharing_nodes,
         frozenset((*state.members.by_id, state.settings.node_id)),
