Store the answer of a claimed call before its client gets it

Change: the answer waits for the write, for 1 s at most; until it is stored this node replays it from memory, also after that second. Ruled out: waiting without a limit (an answer that is ready would be held by an outage), memory only (no help at another node).

--- a/packages/node/src/turmericcrank_node/api/claims.py
+++ b/packages/node/src/turmericcrank_node/api/claims.py
@@ -23,12 +23,23 @@
 from turmericcrank_node.state.node_context import NodeContext
 from turmericcrank_node.state.store import Operation
 
-__all__ = ('AcquiredClaim', 'acquire_claim', 'complete_claim', 'release_claim')
+__all__ = (
+    'AcquiredClaim',
+    'acquire_claim',
+    'complete_claim',
+    'find_unstored_answer',
+    'make_claim_batch_name',
+    'release_claim',
+    'store_answer',
+)
 
 _CLAIMS_TABLE = 'claims'
 _RETRY_DELAY_S = 0.1
 _STORE_RETRY_DELAY_S = 0.5
 _RETRY_AFTER_S = 2
+# A client must not wait long for an answer that is ready, though a repeat at
+# another node may then find the claim open.
+_STORE_ANSWER_LIMIT_S = 1
 
 
 @dataclass(slots=True, frozen=True)
@@ -165,6 +176,71 @@
         return Ok(AcquiredClaim(self.key, self.row, version, claimed_s))
 
 
+def find_unstored_answer(
+    ctx: NodeContext, key: str, body_hash: str
+) -> Result[StoredResponse, Refusal] | None:
+    """Return the outcome of a call whose answer this node still has to store.
+
+    Returns:
+        The answer, or a refusal if the key was used for another request;
+        None if there is no such call.
+    """
+    row = ctx.unstored_claims_by_key.get(key)
+    if row is None:
+        return None
+    if row.body_hash != body_hash:
+        return Error(Refusal(ResultCode.key_reused))
+    return Ok(row.answer)
+
+
+async def store_answer(
+    ctx: NodeContext,
+    acquired_claim: AcquiredClaim,
+    answer: StoredResponse,
+    bill: Bill,
+) -> None:
+    """Store an answer before its client gets it, unless the store is slow.
+
+    A client that has the answer may repeat the call at any node, and each
+    node must find the answer. If the store takes longer than
+    ``_STORE_ANSWER_LIMIT_S``, storing continues in the background, and only
+    this node has the answer until then.
+    """
+    ctx.unstored_claims_by_key[acquired_claim.key] = _make_done_row(
+        acquired_claim, answer
+    )
+    is_stored = trio.Event()
+    ctx.start_soon(
+        _store_in_background, acquired_claim, answer, bill, is_stored
+    )
+    with trio.move_on_after(_STORE_ANSWER_LIMIT_S):
+        await is_stored.wait()
+
+
+async def _store_in_background(
+    ctx: NodeContext,
+    acquired_claim: AcquiredClaim,
+    answer: StoredResponse,
+    bill: Bill,
+    is_stored: trio.Event,
+) -> None:
+    await complete_claim(ctx, acquired_claim, answer, bill)
+    ctx.unstored_claims_by_key.pop(acquired_claim.key, None)
+    is_stored.set()
+
+
+def _make_done_row(
+    acquired_claim: AcquiredClaim, answer: StoredResponse
+) -> ClaimRow:
+    return ClaimRow(
+        acquired_claim.row.token,
+        acquired_claim.row.body_hash,
+        ClaimState.done,
+        acquired_claim.row.open_until_s,
+        answer,
+    )
+
+
 async def complete_claim(
     ctx: NodeContext,
     acquired_claim: AcquiredClaim,
@@ -184,13 +260,7 @@
         bill: Bill of the request; written with the response or not at all,
             unless the bill writer has already stored it.
     """
-    row = ClaimRow(
-        acquired_claim.row.token,
-        acquired_claim.row.body_hash,
-        ClaimState.done,
-        acquired_claim.row.open_until_s,
-        answer,
-    )
+    row = _make_done_row(acquired_claim, answer)
     operations = [
         Operation(
             _CLAIMS_TABLE,
--- a/packages/node/src/turmericcrank_node/api/service_handler.py
+++ b/packages/node/src/turmericcrank_node/api/service_handler.py
@@ -31,9 +31,10 @@
 from turmericcrank_node.api.claims import (
     AcquiredClaim,
     acquire_claim,
-    complete_claim,
+    find_unstored_answer,
     make_claim_batch_name,
     release_claim,
+    store_answer,
 )
 from turmericcrank_node.api.dispatch import (
     DispatchRequest,
@@ -155,7 +156,11 @@
     body_hash = hash_body(
         call.method, f'{call.route.name}/{call.path}', call.body
     )
-    decided = await acquire_claim(ctx, key, body_hash, call.route.deadline_s)
+    decided = find_unstored_answer(ctx, key, body_hash)
+    if decided is None:
+        decided = await acquire_claim(
+            ctx, key, body_hash, call.route.deadline_s
+        )
     if decided.is_error():
         return Error(decided.error)
     if isinstance(decided.ok, StoredResponse):
@@ -199,9 +204,7 @@
             await commit_bill(
                 ctx, bill, make_claim_batch_name(acquired_claim.key)
             )
-            ctx.start_soon(
-                complete_claim, acquired_claim, attempted.answer, bill
-            )
+            await store_answer(ctx, acquired_claim, attempted.answer, bill)
             return Ok(
                 _make_service_response(attempted.answer, ResultCode.answered)
             )
--- a/packages/node/src/turmericcrank_node/state/node_context.py
+++ b/packages/node/src/turmericcrank_node/state/node_context.py
@@ -15,6 +15,7 @@
 from turmericcrank_core.billing import Bill
 from turmericcrank_core.cascade import CascadePolicy
 from turmericcrank_core.cells import plan_interval_s
+from turmericcrank_core.claims import ClaimRow
 from turmericcrank_core.freshness import (
     Freshness,
     SampleWindow,
@@ -148,6 +149,8 @@
     in_flight: dict[str, dict[str, str]] = field(default_factory=dict)
     instances_by_upstream: dict[str, str] = field(default_factory=dict)
     budgets_by_pool: dict[str, RetryBudget] = field(default_factory=dict)
+    # Written by claims: answers that are not in the store yet, by claim.
+    unstored_claims_by_key: dict[str, ClaimRow] = field(default_factory=dict)
     # Written by crash_replication.
     suspects: CrashHistory = field(default_factory=CrashHistory)
     # Written by evidence_replication.
