Decode the answers of engines to typed values

A usage of another type, {"usage": {"prompt_tokens": "3"}}, was taken as it was and broke the bill; deep nesting raised RecursionError in the relay of a stream. Change: api/engine_answers decodes answers, usage and text of streams with msgspec, one place for the stream and the complete answer; what does not decode is no answer, or an event without usage.

--- a/packages/node/src/turmericcrank_node/api/model_calls.py
+++ b/packages/node/src/turmericcrank_node/api/model_calls.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 import httpx
-import orjson
 import trio
 from expression import Error, Ok, Result
 from turmericcrank_core.codes import ResultCode
@@ -32,6 +31,7 @@
     list_fingerprints,
     start_dispatch,
 )
+from turmericcrank_node.api.engine_answers import Completion, decode_completion
 from turmericcrank_node.api.upstream_calls import (
     NotSent,
     ResponseOpened,
@@ -63,6 +63,7 @@
 _RETRY_AFTER_S = 1
 _SERVER_ERROR = 500
 _SLOW_FIRST_TOKEN_S = 0.58
+_MAX_DETAIL_BYTES = 200
 _NONE_TRIED: frozenset[str] = frozenset()
 
 
@@ -115,7 +116,7 @@
     """A complete response body and the response it was read from."""
 
     opened: OpenedResponse
-    body: dict[str, Any]
+    completion: Completion
     raw: bytes
 
 
@@ -182,10 +183,11 @@
 def _decode_answer(
     opened: OpenedResponse, raw: bytes
 ) -> Result[CompleteResponse, Refusal]:
-    try:
-        return Ok(CompleteResponse(opened, orjson.loads(raw), raw))
-    except ValueError as error:
-        return Error(Refusal(ResultCode.upstream_failed, str(error)))
+    completion = decode_completion(raw)
+    if completion is None:
+        detail = raw[:_MAX_DETAIL_BYTES].decode('utf-8', 'replace')
+        return Error(Refusal(ResultCode.upstream_failed, detail))
+    return Ok(CompleteResponse(opened, completion, raw))
 
 
 async def close_response(ctx: NodeContext, opened: OpenedResponse) -> None:
--- a/packages/node/src/turmericcrank_node/api/model_handler.py
+++ b/packages/node/src/turmericcrank_node/api/model_handler.py
@@ -1,8 +1,6 @@
 """Handles a model request, complete or streamed, and bills it once."""
 
-import json
 from dataclasses import dataclass, replace
-from typing import Any
 
 from expression import Error, Ok, Result
 from turmericcrank_core.billing import Bill, compute_token_cost
@@ -13,6 +11,7 @@
 from turmericcrank_core.tables import Pool
 
 from turmericcrank_node.api.bill_writer import commit_bill
+from turmericcrank_node.api.engine_answers import TokenUsage
 from turmericcrank_node.api.model_calls import (
     ModelCall,
     open_response,
@@ -40,7 +39,6 @@
     'make_model_bill',
 )
 
-_MAX_DETAIL_CHARS = 200
 _OK = 200
 
 
@@ -49,13 +47,11 @@
     """A complete response of one tier, with the bill of all tiers so far.
 
     Attributes:
-        body: Decoded response of the engine.
-        raw: The same response as the bytes that the engine sent.
+        raw: Response as the bytes that the engine sent.
         bill: Bill for this tier and those that ran before it.
         ratable: Prompt and text to be rated.
     """
 
-    body: dict[str, Any]
     raw: bytes
     bill: Bill
     ratable: RatableAnswer
@@ -126,12 +122,11 @@
 def make_model_bill(
     call: ModelCall,
     pool: Pool,
-    usage: dict[str, Any],
+    usage: TokenUsage,
     earlier_cost_microcents: float = 0,
 ) -> Bill:
     """Create the bill of a response from the usage its engine reports."""
-    tokens_in = int(usage.get('prompt_tokens', 0))
-    tokens_out = int(usage.get('completion_tokens', 0))
+    tokens_in, tokens_out = usage.prompt_tokens, usage.completion_tokens
     cost = compute_token_cost(
         tokens_in,
         tokens_out,
@@ -202,22 +197,21 @@
     read = await read_complete_response(ctx, call, ring)
     if read.is_error():
         return Error(read.error)
-    opened, body = read.ok.opened, read.ok.body
-    if 'choices' not in body:
-        return Error(
-            Refusal(
-                ResultCode.upstream_failed, json.dumps(body)[:_MAX_DETAIL_CHARS]
-            )
-        )
+    opened, completion = read.ok.opened, read.ok.completion
     bill = make_model_bill(
-        call, chosen.pool, body.get('usage') or {}, earlier_cost_microcents
+        call,
+        chosen.pool,
+        completion.usage or TokenUsage(),
+        earlier_cost_microcents,
     )
     record_answer_cost(chosen, bill.cost_microcents - earlier_cost_microcents)
-    text = body['choices'][0]['message']['content']
     answer = RatableAnswer(
-        chosen, opened.dispatch.upstream.upstream_id, call.request.prompt, text
+        chosen,
+        opened.dispatch.upstream.upstream_id,
+        call.request.prompt,
+        completion.text,
     )
-    return Ok(CompleteAnswer(body, read.ok.raw, bill, answer))
+    return Ok(CompleteAnswer(read.ok.raw, bill, answer))
 
 
 async def _escalate(
--- a/packages/node/src/turmericcrank_node/api/model_stream.py
+++ b/packages/node/src/turmericcrank_node/api/model_stream.py
@@ -1,9 +1,7 @@
 """Relays a stream to its client, resumes it after a break and bills it."""
 
-import json
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
-from typing import Any
 
 import httpx
 import trio
@@ -13,6 +11,11 @@
 from turmericcrank_core.event_codes import EventCode
 
 from turmericcrank_node.api.bill_writer import commit_bill
+from turmericcrank_node.api.engine_answers import (
+    TokenUsage,
+    join_text,
+    read_usage,
+)
 from turmericcrank_node.api.model_calls import (
     OpenedResponse,
     close_response,
@@ -38,7 +41,6 @@
 _DONE = b'data: [DONE]\n\n'
 _USAGE = b'"usage"'
 _EVENT_END = b'\n\n'
-_EVENT_START = b'data: '
 _MAX_RATED_BYTES = 65536
 
 
@@ -59,7 +61,7 @@
 
     n_events: int = 0
     usage_event: bytes = b''
-    usage: dict[str, Any] | None = None
+    usage: TokenUsage | None = None
     done: bool = False
     rated_prefix: bytearray = field(default_factory=bytearray)
     n_bytes: int = 0
@@ -83,11 +85,13 @@
         complete_event = event + _EVENT_END
         if complete_event == _DONE:
             state.done = True
-        elif _USAGE in event and _read_usage(event) is not None:
-            state.usage = _read_usage(event)
-            state.usage_event = complete_event
-        else:
+            continue
+        usage = read_usage(event) if _USAGE in event else None
+        if usage is None:
             relayable.append(complete_event)
+        else:
+            state.usage = usage
+            state.usage_event = complete_event
     state.n_events += len(relayable)
     return b''.join(relayable)
 
@@ -224,7 +228,7 @@
         planned.chosen,
         opened.dispatch.upstream.upstream_id,
         planned.call.request.prompt,
-        _join_text(bytes(state.rated_prefix)),
+        join_text(bytes(state.rated_prefix)),
     )
     rate_in_background(ctx, answer, planned.call.route)
 
@@ -253,9 +257,10 @@
     """Bill the reported usage, or the relayed events if there is none."""
     call = planned.call
     pool = planned.chosen.pool
-    usage = state.usage or {}
-    tokens_in = usage.get('prompt_tokens', len(call.request.prompt.split()))
-    tokens_out = usage.get('completion_tokens', state.n_events)
+    usage = state.usage or TokenUsage(
+        len(call.request.prompt.split()), state.n_events
+    )
+    tokens_in, tokens_out = usage.prompt_tokens, usage.completion_tokens
     return Bill(
         call.bill_id,
         call.team,
@@ -270,22 +275,3 @@
             pool.cost_out_microcents,
         ),
     )
-
-
-def _read_usage(event: bytes) -> dict[str, Any] | None:
-    try:
-        usage = json.loads(event.removeprefix(_EVENT_START))['usage']
-    except (ValueError, KeyError, TypeError):
-        return None
-    return usage if isinstance(usage, dict) else None
-
-
-def _join_text(events: bytes) -> str:
-    pieces = []
-    for event in events.split(_EVENT_END):
-        try:
-            chunk = json.loads(event.removeprefix(_EVENT_START))
-            pieces.append(chunk['choices'][0]['delta'].get('content', ''))
-        except (ValueError, KeyError, IndexError):
-            continue
-    return ''.join(pieces)
--- a/tests/node/test_wire.py
+++ b/tests/node/test_wire.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from turmericcrank_dev.site_data import NodePorts, build_node_settings
+from turmericcrank_node.api.engine_answers import TokenUsage
 from turmericcrank_node.api.model_stream import StreamState, extract_relayable
 from turmericcrank_node.membership import peer_messages
 from turmericcrank_node.membership.peer_messages import unpack_message
@@ -106,7 +107,7 @@
     assert state.n_events == n_tokens
     assert state.usage_event == _USAGE
     assert state.done
-    assert state.usage == {'completion_tokens': 3}
+    assert state.usage == TokenUsage(completion_tokens=3)
 
 
 def _split_into_blocks(stream, cuts):
