Show that brittle workers fall over together, with what they had accepted

Workers say that they are brittle, and somewhat more comes than they can run. Nodes don't read the header and offer each request that finds no room to all workers, so these turn away more than they bear and fall over: LIMIT.

That the header is not handled was known as a missing part; the lost bookings are why it is shown.

--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -9,7 +9,7 @@
 from standins.http1 import Message, encode_response, read_message
 from standins.store import Store
 
-__all__ = ('ModelWorker', 'Run', 'Worker')
+__all__ = ('BrittleWorker', 'ModelWorker', 'Run', 'Worker')
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,10 +62,14 @@
 
     async def start(self) -> None:
         """Listen and register in the store."""
+        await self.listen()
+        self.register()
+
+    async def listen(self) -> None:
+        """Listen at the worker's address."""
         self._server = await asyncio.start_server(
             self._serve, self.host, self.port
         )
-        self.register()
 
     def register(self, state: str = 'ready') -> int:
         """Write the worker's entry; return the version of the store."""
@@ -169,3 +173,77 @@
             await writer.drain()
         writer.write(b'0\r\n\r\n')
         await writer.drain()
+
+
+class BrittleWorker(Worker):
+    """A worker with few places; while brittle, rejections end it.
+
+    It falls over when it has to turn more than ``max_rejected`` requests away
+    in a second, and listens again ``down_s`` later.
+    """
+
+    max_rejected = 20
+    down_s = 3.0
+    queue = 24
+    brittle_queue = 6
+
+    def __init__(self, *args: Any, **fields: Any) -> None:
+        super().__init__(*args, **fields)
+        self.brittle_since_s: float | None = None
+        self.contact_s = 0.0
+        self.falls: list[float] = []
+        self.n_rejected = 0
+        self.n_broken_off = 0
+        self._n_present = 0
+        self._rejected: list[float] = []
+        self._places = asyncio.Semaphore(self._slots)
+
+    def make_headers(self, request_id: str) -> dict[str, str]:
+        """Return the headers of an answer."""
+        headers = super().make_headers(request_id)
+        if self.brittle_since_s is not None:
+            headers['Server-Brittle'] = str(self.max_rejected)
+        return headers
+
+    async def answer(
+        self, request_id: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Run a request, queue it, or turn it away."""
+        if self._n_present >= self._slots + self._plan_queue():
+            self._reject(request_id, writer)
+            return
+        self._n_present += 1
+        n_falls = len(self.falls)
+        try:
+            async with self._places:
+                await super().answer(request_id, writer)
+        finally:
+            self._n_present -= 1
+            self.n_broken_off += len(self.falls) > n_falls
+
+    def _plan_queue(self) -> int:
+        since_s = self.brittle_since_s
+        if since_s is None or time.monotonic() - since_s < self.contact_s:
+            return self.queue
+        return self.brittle_queue
+
+    def _reject(self, request_id: str, writer: asyncio.StreamWriter) -> None:
+        headers = self.make_headers(request_id)
+        del headers['X-Response-Signature']
+        headers['X-Not-Executed'] = '1'
+        writer.write(encode_response(503, headers))
+        now_s = time.monotonic()
+        self.n_rejected += 1
+        self._rejected = [at_s for at_s in self._rejected if at_s > now_s - 1]
+        self._rejected.append(now_s)
+        is_brittle = self._plan_queue() == self.brittle_queue
+        if is_brittle and len(self._rejected) > self.max_rejected:
+            self.falls.append(now_s)
+            self._rejected.clear()
+            self.stop()
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.down_s, self._rise)
+
+    def _rise(self) -> None:
+        self._places = asyncio.Semaphore(self._slots)
+        self._rising = asyncio.create_task(self.listen())
