Plan the retry of a failed read by the peers that a node has now

Cause, one of two: after a failed read a node of a cell that does not read the store waits for 8 s and one more for each rank, since others read for it. That time was fixed when the read failed. A node that then lost its peers, or got their messages late, still waited for it, however old its copy became. Ruled out: versions that were given out again (no rise of the era in the record), and a whole read that hides a deletion (the row of the configuration is never deleted). Change: the delay is planned anew at each look, from the rank and the cell that the node has now; alone it is 0.25 s. What an outage costs is unchanged (tests/core/test_store_backoff.py). test_a_failed_read_delays_a_known_change_only_briefly set the fixed time, which is gone; it sets the failed read instead and checks the same bounds. Conclusion: a back-off that relies on others holds only while there are others.

--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -84,7 +84,6 @@
         is_unavailable: Whether the last read failed.
         stale_since_s: Since when a peer has a newer change; None if none.
         failed_s: When a read last failed, in seconds.
-        retry_s: Earliest time of the next read after that, in seconds.
     """
 
     table: str
@@ -94,7 +93,6 @@
     is_unavailable: bool = False
     stale_since_s: float | None = None
     failed_s: float = 0
-    retry_s: float = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -178,9 +176,17 @@
         * interval_factor
     )
     wait_s = 0 if read_age_s else _LONG_POLL_S * interval_factor
-    due_s = read_age_s - staleness_s(watch.staleness, now_s)
+    age_s = staleness_s(watch.staleness, now_s)
+    due_s = read_age_s - age_s
+    if watch.is_unavailable:
+        # Planned anew each time: a node that has lost its peers since the
+        # failed read must not rely on them to read the store.
+        retry_delay_s = plan_read_retry_delay_s(
+            rank, state.gossip_plan.is_reading_cell, age_s
+        )
+        due_s = max(due_s, watch.failed_s + retry_delay_s - now_s)
     reason = 'age' if read_age_s else 'turn'
-    return _PlannedRead(max(due_s, watch.retry_s - now_s), reason, wait_s)
+    return _PlannedRead(due_s, reason, wait_s)
 
 
 def _is_behind_for_long(watch: TableWatch, now_s: float) -> bool:
@@ -271,14 +277,7 @@
 def _record_failed_read(
     state: NodeState, watch: TableWatch, reason: str
 ) -> None:
-    now_s = read_boottime_s()
-    rank = plan_member_rank(state.members, state.settings.node_id, now_s)
-    watch.failed_s = now_s
-    watch.retry_s = now_s + plan_read_retry_delay_s(
-        rank,
-        state.gossip_plan.is_reading_cell,
-        staleness_s(watch.staleness, now_s),
-    )
+    watch.failed_s = read_boottime_s()
     if not watch.is_unavailable:
         watch.is_unavailable = True
         state.log.write(EventCode.store_lost, table=watch.table, detail=reason)
--- a/tests/membership/test_gossip_messages.py
+++ b/tests/membership/test_gossip_messages.py
@@ -415,7 +415,7 @@
     watch = TableWatch('configuration', 0, staleness, apply_configuration)
     now_s = read_boottime_s()
     watch.failed_s = now_s
-    watch.retry_s = now_s + 12
+    watch.is_unavailable = True
     staleness.peer_change = staleness.read_version + 5
     plan_read(state, watch, now_s, is_starting=False)
     assert plan_read(state, watch, now_s + 0.2, is_starting=False).due_s > 0
