Use no entry whose address or name can't be used

Cause: a port out of range, or of thousands of digits, was accepted; connecting to it raises OverflowError or ValueError, which ended requests with status 500. A host name started a name lookup. A name outside ASCII raised UnicodeEncodeError when it was put into a header. Ruled out: entries that are deeply nested or have a number too large for other fields; orjson rejects them, and such an entry names no upstream (now a test). Conclusion: an entry is checked for what it is used for, not for its type only.

--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -212,6 +212,37 @@
     assert decode_response_head(200, []).request_limit_per_s is None
 
 
+@pytest.mark.parametrize(
+    'address',
+    [
+        '10.1.2.3:99999999',
+        '10.1.2.3:65536',
+        '10.1.2.3:0',
+        f'10.1.2.3:{"9" * 5000}',
+        '10.1.2.3:\u0663',
+        '10.1.2.300:80',
+        'host.example:80',
+        '[::1]:80',
+    ],
+)
+def test_an_entry_with_an_impossible_address_names_no_upstream(address):
+    """A connection to such an address raises an error, or looks up a name."""
+    malformed = {**_UPSTREAM, 'address': address}
+    assert decode_upstream(_make_row(malformed, 'i-1')) is None
+
+
+@pytest.mark.parametrize('key', ['', 'i\r\nx: y', 'i \u2713', '\u00e9\u0663'])
+def test_an_entry_whose_name_cannot_be_sent_names_no_upstream(key):
+    assert decode_upstream(_make_row(_UPSTREAM, key)) is None
+
+
+@pytest.mark.parametrize('depth', [2000, 100_000])
+def test_a_deeply_nested_entry_names_no_upstream(depth):
+    nested = b'[' * depth + b']' * depth
+    row = ChangedRow('i-1', 1, b'{"service":"s","x":%s}' % nested)
+    assert decode_upstream(row) is None
+
+
 def test_hop_by_hop_headers_of_an_upstream_are_not_forwarded():
     response_head = decode_response_head(
         200,
