Judge crashing parts once for all reports, and send each report in three rounds

Cause: each report of a crash judged the whole history anew, and every node repeated each report to all receivers for 1.8 s, forwarded ones included. Change: parts are judged 0.4 s after a crash, when all nodes have reported it; a block that better evidence replaces ends. A report is kept with the nodes that depend on this one to hear of it, and goes to them in three rounds.

--- a/packages/core/src/turmericcrank_core/crash_blocks.py
+++ b/packages/core/src/turmericcrank_core/crash_blocks.py
@@ -9,7 +9,6 @@
 """
 
 import math
-from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
 from turmericcrank_core.crash_evidence import (
@@ -19,7 +18,11 @@
     add_crash,
     record_proof,
 )
-from turmericcrank_core.crash_judgement import find_culprits
+from turmericcrank_core.crash_judgement import (
+    find_part_groups,
+    find_requests,
+    is_superseded,
+)
 
 __all__ = (
     'CrashBlock',
@@ -29,8 +32,10 @@
     'find_block',
     'is_active',
     'is_test_due',
-    'iter_blocks_to_gossip',
+    'judge_parts',
+    'is_same_state',
     'merge_block',
+    'name_test_turn',
     'next_test_s',
     'record_output_of',
     'report_crash',
@@ -39,6 +44,7 @@
 
 _FIRST_TEST_S = 20
 _TEST_INTERVAL_FACTOR = 8
+_TEST_TURN_S = 5
 # A test that fails costs an upstream.
 _MAX_TESTS = 3
 _RETENTION_S = 86_400
@@ -46,6 +52,8 @@
 _MAX_BLOCKS = 256
 # A block that ends sooner was a mistake: its crashes count again.
 _MIN_EXPLAINED_S = 10
+# Reports of all nodes on one crash arrive within this time.
+_SETTLE_S = 0.4
 
 
 @dataclass(slots=True, frozen=True)
@@ -79,17 +87,14 @@
     Attributes:
         history: Crashes and proofs.
         blocks_by_keys: Blocks, active or lifted lately.
-        announced_s_by_keys: Time since which this node has had something new
-            to tell other nodes about a block, in seconds.
+        is_judgement_due: Whether a crash was recorded since parts were judged.
     """
 
     history: CrashHistory = field(default_factory=CrashHistory)
     blocks_by_keys: dict[frozenset[str], CrashBlock] = field(
         default_factory=dict
     )
-    announced_s_by_keys: dict[frozenset[str], float] = field(
-        default_factory=dict
-    )
+    is_judgement_due: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -130,15 +135,34 @@
 def report_crash(
     guard: CrashGuard, record: CrashRecord, now_s: float
 ) -> list[CrashBlock] | None:
-    """Record a crash.
+    """Record a crash; parts of prompts are judged later, by ``judge_parts``.
 
     Returns:
-        The blocks that follow from it; None if it adds nothing to what is
-        known.
+        The blocks of requests that follow from it; None if it adds nothing to
+        what is known.
     """
     if not add_crash(guard.history, record):
         return None
-    return _judge(guard, now_s)
+    guard.is_judgement_due = True
+    return _blame_requests(guard, now_s)
+
+
+def judge_parts(guard: CrashGuard, now_s: float) -> list[CrashBlock]:
+    """Judge the parts of prompts, by crashes of which all nodes have heard.
+
+    Call it often; it does nothing unless a crash has been recorded.
+
+    Returns:
+        The blocks that have begun, and those that these replace.
+    """
+    if not guard.is_judgement_due:
+        return []
+    settled_s = now_s - _SETTLE_S
+    guard.is_judgement_due = guard.history.crashes[-1].at_s > settled_s
+    groups = find_part_groups(guard.history, _list_known(guard), settled_s)
+    added = _add_blocks(guard, groups, now_s)
+    lifted = _lift_superseded(guard, now_s) if added else []
+    return added + lifted
 
 
 def record_output_of(
@@ -155,7 +179,7 @@
     if not guard.history.crashes and not guard.blocks_by_keys:
         return SuspectOutput()
     lifted = [
-        _store(guard, replace(block, lifted_s=at_s), now_s)
+        _store(guard, replace(block, lifted_s=at_s))
         for block in list(guard.blocks_by_keys.values())
         if is_active(block) and block.keys <= keys and at_s > block.crash_s
     ]
@@ -164,7 +188,7 @@
     return SuspectOutput(proven_keys, lifted, blocks)
 
 
-def merge_block(guard: CrashGuard, reported: CrashBlock, now_s: float) -> bool:
+def merge_block(guard: CrashGuard, reported: CrashBlock) -> bool:
     """Merge a block that another node reports.
 
     Returns:
@@ -175,17 +199,13 @@
     if known is None and len(guard.blocks_by_keys) >= _MAX_BLOCKS:
         return False
     merged = reported if known is None else _merge(known, reported)
-    if merged == known:
-        if merged != reported:
-            # The sender has to hear the newer state.
-            guard.announced_s_by_keys[merged.keys] = now_s
-        return False
-    _store(guard, merged, now_s)
-    return (
-        known is None
-        or is_active(known) != is_active(merged)
-        or known.n_tests != merged.n_tests
-    )
+    guard.blocks_by_keys[merged.keys] = merged
+    return known is None or not is_same_state(known, merged)
+
+
+def is_same_state(one: CrashBlock, other: CrashBlock) -> bool:
+    """Return whether two reports of a block let the same requests through."""
+    return is_active(one) == is_active(other) and one.n_tests == other.n_tests
 
 
 def is_test_due(block: CrashBlock, now_s: float) -> bool:
@@ -199,25 +219,21 @@
     return last_s + _FIRST_TEST_S * _TEST_INTERVAL_FACTOR**block.n_tests
 
 
-def start_test(guard: CrashGuard, block: CrashBlock, now_s: float) -> None:
-    """Record that a blocked request is sent as a test."""
-    tested = replace(block, n_tests=block.n_tests + 1, tested_s=now_s)
-    _store(guard, tested, now_s)
+def name_test_turn(block: CrashBlock, now_s: float) -> str:
+    """Return a name for which the nodes choose the one that may test a block.
 
+    It changes with time, since the chosen node may get no such request.
+    """
+    return f'{min(block.keys)}/{int(now_s / _TEST_TURN_S)}'
 
-def iter_blocks_to_gossip(
-    guard: CrashGuard, since_s: float, repeated: list[frozenset[str]]
-) -> Iterator[CrashBlock]:
-    """Yield what changed lately, and some others, to repair lost messages.
 
-    Args:
-        guard: The known blocks.
-        since_s: Changes announced at or after this time, in seconds.
-        repeated: Blocks that are sent in any case.
-    """
-    for keys, block in guard.blocks_by_keys.items():
-        if keys in repeated or guard.announced_s_by_keys[keys] >= since_s:
-            yield block
+def start_test(
+    guard: CrashGuard, block: CrashBlock, now_s: float
+) -> CrashBlock:
+    """Record that a blocked request is sent as a test; return its block."""
+    tested = replace(block, n_tests=block.n_tests + 1, tested_s=now_s)
+    guard.blocks_by_keys[block.keys] = tested
+    return tested
 
 
 def expire_blocks(guard: CrashGuard, now_s: float) -> None:
@@ -231,18 +247,43 @@
         newest_s = max(block.since_s, block.tested_s, block.lifted_s)
         if now_s - newest_s > retention_s:
             guard.blocks_by_keys.pop(keys)
-            guard.announced_s_by_keys.pop(keys)
 
 
-def _judge(guard: CrashGuard, now_s: float) -> list[CrashBlock]:
-    """Block what the crashes show to be a culprit."""
-    until_s_by_known = {
+def _blame_requests(guard: CrashGuard, now_s: float) -> list[CrashBlock]:
+    known = _list_known(guard)
+    return _add_blocks(guard, find_requests(guard.history, known), now_s)
+
+
+def _list_known(guard: CrashGuard) -> dict[frozenset[str], float]:
+    """Return the culprits, and until when they explain crashes."""
+    return {
         block.keys: math.inf if is_active(block) else block.lifted_s
         for block in guard.blocks_by_keys.values()
         if is_active(block)
         or block.lifted_s - block.since_s >= _MIN_EXPLAINED_S
     }
-    culprits = find_culprits(guard.history, until_s_by_known)
+
+
+def _lift_superseded(guard: CrashGuard, now_s: float) -> list[CrashBlock]:
+    """End blocks all of whose crashes other blocks explain better."""
+    active = [
+        block.keys
+        for block in guard.blocks_by_keys.values()
+        if is_active(block)
+    ]
+    return [
+        _store(guard, replace(guard.blocks_by_keys[keys], lifted_s=now_s))
+        for keys in active
+        if not guard.blocks_by_keys[keys].n_tests
+        and is_superseded(
+            guard.history, keys, [one for one in active if not one <= keys]
+        )
+    ]
+
+
+def _add_blocks(
+    guard: CrashGuard, culprits: list[frozenset[str]], now_s: float
+) -> list[CrashBlock]:
     n_free = _MAX_BLOCKS - len(guard.blocks_by_keys)
     return [_add_block(guard, keys, now_s) for keys in culprits[:n_free]]
 
@@ -271,12 +312,11 @@
     crash_s = max(
         guard.history.crashed_s_by_key.get(key, now_s) for key in keys
     )
-    return _store(guard, CrashBlock(keys, now_s, crash_s), now_s)
+    return _store(guard, CrashBlock(keys, now_s, crash_s))
 
 
-def _store(guard: CrashGuard, block: CrashBlock, now_s: float) -> CrashBlock:
+def _store(guard: CrashGuard, block: CrashBlock) -> CrashBlock:
     guard.blocks_by_keys[block.keys] = block
-    guard.announced_s_by_keys[block.keys] = now_s
     return block
 
 
--- a/packages/core/src/turmericcrank_core/crash_judgement.py
+++ b/packages/core/src/turmericcrank_core/crash_judgement.py
@@ -20,20 +20,21 @@
 """
 
 import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
 from turmericcrank_core.crash_evidence import (
     CrashHistory,
     CrashRecord,
+    Suspect,
     is_open,
 )
 
-__all__ = ('find_culprits',)
+__all__ = ('find_part_groups', 'find_requests', 'is_superseded')
 
 _MIN_PART_REQUESTS = 2
 _MIN_REQUEST_CRASHES = 3
-_SAME_MOMENT_S = 0.5
+_SAME_MOMENT_S = 0.3
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,36 +62,85 @@
 )
 
 
-def find_culprits(
-    history: CrashHistory, until_s_by_known: Mapping[frozenset[str], float]
+def find_part_groups(
+    history: CrashHistory,
+    until_s_by_known: Mapping[frozenset[str], float],
+    settled_s: float,
 ) -> list[frozenset[str]]:
-    """Return what is to blame for the crashes and not known as such yet.
-
-    It takes O(n) for n suspects of all crashes, times the number of culprits.
+    """Return the groups of parts that are to blame and not known as such yet.
 
     Args:
         history: Crashes of all nodes.
-        until_s_by_known: Culprits found before, each with the time up to
-            which crashes of requests that carry it are explained.
+        until_s_by_known: Groups found before, each with the time up to which
+            crashes of requests that carry it are explained.
+        settled_s: Time of the newest crash that is judged. A node that has
+            not heard all about a crash may miss the culprit and blame a part
+            of requests beside it.
 
     Returns:
-        Groups of parts, or single fingerprints: requests that carry all keys
-        of one of them crash their upstream.
+        Requests that carry all keys of one of the groups crash their
+        upstream.
     """
-    until_s_by_culprit = dict(until_s_by_known)
-    new_groups: list[frozenset[str]] = []
-    found = _find_part_group(history, until_s_by_culprit)
-    while found is not None:
-        new_groups.append(found)
-        until_s_by_culprit[found] = math.inf
-        found = _find_part_group(history, until_s_by_culprit)
-    open_crashes = [
-        _limit_to_begun(history, crash) for crash in history.crashes
+    settled = [crash for crash in history.crashes if crash.at_s <= settled_s]
+    until_s_by_group = dict(until_s_by_known)
+    found: list[frozenset[str]] = []
+    group = _find_part_group(history, settled, until_s_by_group)
+    while group is not None:
+        found.append(group)
+        until_s_by_group[group] = math.inf
+        group = _find_part_group(history, settled, until_s_by_group)
+    return found
+
+
+def find_requests(
+    history: CrashHistory, until_s_by_known: Mapping[frozenset[str], float]
+) -> list[frozenset[str]]:
+    """Return the fingerprints that are to blame and not known as such yet.
+
+    Args:
+        history: Crashes of all nodes.
+        until_s_by_known: Culprits found before, parts too, each with the time
+            up to which crashes of requests that carry it are explained.
+    """
+    crashes = [_limit_to_begun(history, crash) for crash in history.crashes]
+    for known, until_s in until_s_by_known.items():
+        crashes, _ = _explain(crashes, known, until_s)
+    return [
+        frozenset((fingerprint,))
+        for fingerprint in _iter_requests_to_blame(history, crashes)
     ]
-    for culprit, until_s in until_s_by_culprit.items():
-        open_crashes, _ = _explain(open_crashes, culprit, until_s)
-    requests = _iter_requests_to_blame(history, open_crashes)
-    return [*new_groups, *(frozenset((request,)) for request in requests)]
+
+
+def is_superseded(
+    history: CrashHistory,
+    group: frozenset[str],
+    others: Collection[frozenset[str]],
+) -> bool:
+    """Return whether other groups explain all crashes of a group better.
+
+    They do if in each crash the requests with one of them are among those
+    with the group, and in one crash there are fewer of them.
+    """
+    is_narrower = False
+    for crash in history.crashes:
+        carriers = _list_carriers(_limit_to_begun(history, crash), group)
+        shares = [
+            _list_carriers(_limit_to_begun(history, crash), other)
+            for other in others
+        ]
+        fitting = [share for share in shares if share and share <= carriers]
+        if carriers and not fitting:
+            return False
+        is_narrower |= any(share < carriers for share in fitting)
+    return is_narrower
+
+
+def _list_carriers(
+    crash: CrashRecord, group: frozenset[str]
+) -> frozenset[Suspect]:
+    return frozenset(
+        suspect for suspect in crash.suspects if group <= suspect.keys
+    )
 
 
 def _explain(
@@ -98,21 +148,15 @@
 ) -> tuple[list[CrashRecord], list[CrashRecord]]:
     """Split crashes into those that a culprit leaves open and the others.
 
-    The others are limited to the parts of the culprit, since one of these
-    parts alone may be to blame.
+    The others are limited to requests that carry it, since only a part of
+    these may be to blame.
     """
     open_crashes = []
     limited = []
     for crash in crashes:
-        carriers = [
-            replace(suspect, parts=suspect.parts & culprit)
-            for suspect in crash.suspects
-            if culprit <= suspect.keys
-        ]
+        carriers = _list_carriers(crash, culprit)
         if carriers and crash.at_s <= until_s:
-            limited.append(
-                CrashRecord(crash.upstream_id, crash.at_s, frozenset(carriers))
-            )
+            limited.append(replace(crash, suspects=carriers))
         else:
             open_crashes.append(crash)
     return open_crashes, limited
@@ -137,10 +181,12 @@
 
 
 def _find_part_group(
-    history: CrashHistory, until_s_by_known: Mapping[frozenset[str], float]
+    history: CrashHistory,
+    settled: list[CrashRecord],
+    until_s_by_known: Mapping[frozenset[str], float],
 ) -> frozenset[str] | None:
     """Return a group to blame, from requests that had begun if there is one."""
-    likely = [_limit_to_begun(history, crash) for crash in history.crashes]
+    likely = [_limit_to_begun(history, crash) for crash in settled]
     crashes = _limit_explained(likely, until_s_by_known)
     for rule in (_BEGUN_RULE, _ANY_RULE):
         group = _find_group_by(history, crashes, rule, until_s_by_known)
@@ -160,7 +206,7 @@
         (
             group
             for group in groups
-            if until_s_by_known.get(group.parts) != math.inf
+            if not _is_blamed(group, until_s_by_known)
             and _has_enough_crashes(group, crashes, rule)
         ),
         key=lambda group: (len(group.crash_indices), -len(group.carriers)),
@@ -172,6 +218,16 @@
     )
 
 
+def _is_blamed(
+    group: _PartGroup, until_s_by_known: Mapping[frozenset[str], float]
+) -> bool:
+    """Return whether requests with a group are blocked already."""
+    return any(
+        known <= group.parts and until_s == math.inf
+        for known, until_s in until_s_by_known.items()
+    )
+
+
 def _limit_to_begun(history: CrashHistory, crash: CrashRecord) -> CrashRecord:
     """Limit a crash to requests that had begun, if any is not yet cleared.
 
@@ -200,14 +256,22 @@
     limited: list[CrashRecord] = []
     # One part explains more than a group that contains it.
     for known in sorted(until_s_by_known, key=len):
-        until_s = until_s_by_known[known]
-        open_crashes, explained = _explain(crashes, known, until_s)
-        if any(suspect.parts for one in explained for suspect in one.suspects):
-            crashes = open_crashes
+        if not _is_request(known, crashes):
+            until_s = until_s_by_known[known]
+            crashes, explained = _explain(crashes, known, until_s)
             limited += explained
     return crashes + limited
 
 
+def _is_request(culprit: frozenset[str], crashes: list[CrashRecord]) -> bool:
+    """Return whether a culprit is the fingerprint of a request."""
+    return any(
+        suspect.fingerprint in culprit
+        for crash in crashes
+        for suspect in crash.suspects
+    )
+
+
 def _group_parts(
     history: CrashHistory, crashes: list[CrashRecord]
 ) -> list[_PartGroup]:
--- a/packages/node/src/turmericcrank_node/control/crash_replication.py
+++ b/packages/node/src/turmericcrank_node/control/crash_replication.py
@@ -11,6 +11,7 @@
     find_block,
     is_test_due,
     merge_block,
+    name_test_turn,
     record_output_of,
     start_test,
 )
@@ -36,6 +37,7 @@
 
 __all__ = (
     'is_blocked',
+    'judge_crashes',
     'merge_crash_report',
     'record_output',
     'record_response',
@@ -44,10 +46,8 @@
     'take_test',
 )
 
-_REPEAT_INTERVAL_S = 2
+_REPEAT_INTERVAL_S = 1
 _REPEAT_FANOUT = 3
-# Another node tests a block if the one whose turn it is gets no request.
-_TEST_TURN_S = 5
 
 
 def is_blocked(ctx: NodeContext, suspect: Suspect) -> bool:
@@ -64,12 +64,11 @@
     block = find_block(ctx.crash_guard, suspect)
     if block is None or not is_test_due(block, now_s):
         return False
-    turn = f'{min(block.keys)}/{int(now_s / _TEST_TURN_S)}'
+    turn = name_test_turn(block, now_s)
     node_id = ctx.settings.node_id
     if choose_aggregators({*ctx.window.listed, node_id}, turn)[0] != node_id:
         return False
-    start_test(ctx.crash_guard, block, now_s)
-    tested = ctx.crash_guard.blocks_by_keys[block.keys]
+    tested = start_test(ctx.crash_guard, block, now_s)
     _announce(ctx, [tested], 'test')
     ctx.start_soon(send_to_peers, _make_report(blocks=[tested]))
     return True
@@ -124,14 +123,24 @@
         output = record_output_of(guard, frozenset((key,)), at_s, now_s)
         _announce(ctx, output.lifted + output.blocks, 'peer')
     for block in itertools.starmap(parse_block, report.blocks):
-        if merge_block(guard, block, now_s):
+        if merge_block(guard, block):
             _announce(ctx, [guard.blocks_by_keys[block.keys]], 'peer')
 
 
+def judge_crashes(ctx: NodeContext) -> None:
+    """Judge the messages that prompts share."""
+    blocks = crash_blocks.judge_parts(ctx.crash_guard, time.time())
+    _announce(ctx, blocks, 'crash')
+
+
 async def serve_crash_blocks(ctx: NodeContext) -> None:
-    """Repeat the blocks to some peers, for those that start later."""
+    """Judge crashes, and repeat the blocks to some peers.
+
+    Nodes that have started later learn of them so.
+    """
     while True:
         await trio.sleep(_REPEAT_INTERVAL_S)
+        judge_crashes(ctx)
         crash_blocks.expire_blocks(ctx.crash_guard, time.time())
         blocks = list(ctx.crash_guard.blocks_by_keys.values())
         if blocks:
--- a/packages/node/src/turmericcrank_node/membership/gossip_fields.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_fields.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from turmericcrank_core.cluster_clock import read_cluster_clock_s
+from turmericcrank_core.crash_blocks import expire_blocks
 from turmericcrank_core.membership import Peer, iter_alive, iter_recently_joined
 from turmericcrank_core.peer_loads import remove_peer_loads
 from turmericcrank_core.rollout_phases import (
@@ -23,10 +24,7 @@
     iter_aggregated_evidence,
     iter_own_evidence,
 )
-from turmericcrank_node.membership.crash_fields import (
-    expire_crash_fields,
-    make_crash_fields,
-)
+from turmericcrank_node.membership.crash_fields import make_crash_fields
 from turmericcrank_node.membership.gossip_message import (
     CellDigest,
     CellSummary,
@@ -34,6 +32,10 @@
     PageRow,
     pack_summary,
 )
+from turmericcrank_node.state.crash_reports import (
+    Audience,
+    start_report_round,
+)
 from turmericcrank_node.state.node_state import (
     ChangePage,
     NodeState,
@@ -90,7 +92,7 @@
         has_counts: Whether to include what changes with each request.
     """
     fields = {
-        **_make_common_fields(state, now_s),
+        **_make_common_fields(state, now_s, Audience.own_cell),
         'digests': list(_iter_digests_to_forward(state, now_s)),
     }
     if has_counts:
@@ -130,7 +132,7 @@
     state: NodeState, now_s: float, has_counts: bool, is_digest_due: bool
 ) -> dict[str, Any]:
     """Return the fields that are the same in messages to other cells."""
-    fields = _make_common_fields(state, now_s)
+    fields = _make_common_fields(state, now_s, Audience.other_cells)
     if has_counts:
         fields['sessions'] = list(_iter_sessions(state, now_s))
     if is_digest_due:
@@ -203,7 +205,10 @@
 
 def expire_gossip(state: NodeState, now_s: float) -> None:
     """Drop old crashes, which all nodes have received, and expired digests."""
-    expire_crash_fields(state, now_s, _REPEAT_WINDOW_S)
+    start_report_round(state.crash_reports)
+    expire_blocks(
+        state.crash_guard, read_cluster_clock_s(state.cluster_clock, now_s)
+    )
     max_age_s = _DIGEST_TTL_S + state.members.gossip_interval_s
     for cell, received in list(state.digests_by_cell.items()):
         if now_s - received.created_s > max_age_s:
@@ -211,15 +216,17 @@
             remove_peer_loads(state.peer_loads, cell)
 
 
-def _make_common_fields(state: NodeState, now_s: float) -> dict[str, Any]:
+def _make_common_fields(
+    state: NodeState, now_s: float, audience: Audience
+) -> dict[str, Any]:
     return {
+        **make_crash_fields(state, audience),
         'cell': state.gossip_plan.cell,
         'proofs': make_staleness_rows(state, now_s),
         'members': [
             _make_member_row(peer, now_s)
             for peer in _iter_members_to_share(state, now_s)
         ],
-        **make_crash_fields(state, now_s, _REPEAT_WINDOW_S),
         'leavers': list(
             iter_leaving_upstreams(state.notices, state.upstream_registry.by_id)
         ),
--- a/packages/node/src/turmericcrank_node/membership/gossip_merge.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_merge.py
@@ -44,6 +44,7 @@
     unpack_summary,
 )
 from turmericcrank_node.platform_port import ChangedRow, FeedPage
+from turmericcrank_node.state.crash_reports import Audience
 from turmericcrank_node.state.node_state import (
     ChangePage,
     NodeState,
@@ -116,30 +117,33 @@
 def _merge_crashes(state: NodeState, message: GossipMessage) -> list[bool]:
     """Merge crashes, output of suspects and blocks; tell which are new."""
     source = message.node_id
-    must_forward = _must_forward_crashes(state, message)
+    audience = _plan_audience(state, message)
     is_new = [
-        merge_crash_report(
-            state, parse_crash(*row), source, must_forward=must_forward
-        )
+        merge_crash_report(state, parse_crash(*row), source, audience)
         for row in message.crashes
     ]
     is_new += [
-        merge_output_report(state, key, at_s, source, must_forward=must_forward)
+        merge_output_report(state, key, at_s, source, audience)
         for key, at_s in message.outputs
     ]
     is_new += [
-        merge_reported_block(state, parse_block(*row), source)
+        merge_reported_block(state, parse_block(*row), source, audience)
         for row in message.blocks
     ]
     return is_new
 
 
-def _must_forward_crashes(state: NodeState, message: GossipMessage) -> bool:
-    """Return whether others depend on this node for what a peer reports."""
+def _plan_audience(state: NodeState, message: GossipMessage) -> Audience | None:
+    """Return who depends on this node for what a peer reports.
+
+    All nodes of the sender's cell hear of it from the sender.
+    """
     plan = state.gossip_plan
     if not plan.cell:
-        return False
-    return message.cell != plan.cell or bool(plan.bridge_peers)
+        return None
+    if message.cell != plan.cell:
+        return Audience.own_cell
+    return Audience.other_cells if plan.bridge_peers else None
 
 
 def _merge_counts(
--- a/packages/node/src/turmericcrank_node/membership/gossip_rounds.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_rounds.py
@@ -29,6 +29,7 @@
 from turmericcrank_node.membership.gossip_message import GossipMessage
 from turmericcrank_node.membership.limit_shares import refresh_sharing_nodes
 from turmericcrank_node.state.node_state import NodeState, describe_self
+from turmericcrank_node.upstreams.poison_detection import judge_crashes
 
 __all__ = (
     'GossipState',
@@ -107,6 +108,7 @@
     gossip.round_s = now_s
     refresh_sharing_nodes(state)
     _expire_state(state, gossip, now_s)
+    judge_crashes(state)
     plan = plan_gossip(state.members, describe_self(state), now_s)
     _apply_plan(state, plan)
     has_counts = now_s - gossip.counts_sent_s >= _COUNTS_INTERVAL_S
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -10,7 +10,6 @@
 import trio
 from turmericcrank_core.cluster_clock import ClusterClock, read_cluster_clock_s
 from turmericcrank_core.crash_blocks import CrashGuard
-from turmericcrank_core.crash_evidence import CrashRecord
 from turmericcrank_core.gossip_topology import GossipPlan
 from turmericcrank_core.membership import Membership, Peer
 from turmericcrank_core.model_escalation import FirstEventForecast
@@ -35,6 +34,7 @@
     Platform,
     RouterSettings,
 )
+from turmericcrank_node.state.crash_reports import CrashReports
 from turmericcrank_node.state.in_flight_attempt import InFlightAttempt
 from turmericcrank_node.state.router_metrics import RouterMetrics
 from turmericcrank_node.state.version_counts import EvidenceState
@@ -100,19 +100,6 @@
     )
 
 
-@dataclass(slots=True, frozen=True)
-class RecentOutput:
-    """Output that has cleared a suspect.
-
-    Attributes:
-        at_s: Time of the output on the cluster clock, in seconds.
-        learnt_s: When this node learnt of it, in seconds.
-    """
-
-    at_s: float
-    learnt_s: float
-
-
 @dataclass(slots=True)
 class ReceivedDigest:
     """Newest digest received from another cell.
@@ -177,9 +164,7 @@
         default_factory=dict
     )
     crash_guard: CrashGuard = field(default_factory=CrashGuard)
-    recent_crashes: list[CrashRecord] = field(default_factory=list)
-    # By fingerprint or key of a part.
-    recent_outputs_by_key: dict[str, RecentOutput] = field(default_factory=dict)
+    crash_reports: CrashReports = field(default_factory=CrashReports)
     retries_by_service: dict[str, RetryWindow] = field(default_factory=dict)
     # Written by rollout_control, table_watch and gossip_merge.
     rollouts_by_service: dict[str, RolloutState] = field(default_factory=dict)
--- a/packages/node/src/turmericcrank_node/upstreams/crash_block_checks.py
+++ b/packages/node/src/turmericcrank_node/upstreams/crash_block_checks.py
@@ -5,6 +5,7 @@
 from turmericcrank_core.crash_blocks import (
     find_block,
     is_test_due,
+    name_test_turn,
     next_test_s,
     start_test,
 )
@@ -13,17 +14,15 @@
 from turmericcrank_core.sharing_nodes import find_sharing_ring
 
 from turmericcrank_node.membership.limit_shares import refresh_sharing_nodes
+from turmericcrank_node.state.crash_reports import Audience
 from turmericcrank_node.state.node_state import NodeState, read_cluster_time_s
 from turmericcrank_node.upstreams.poison_detection import (
-    log_block,
+    announce_blocks,
     make_part_key,
 )
 
 __all__ = ('find_blocked_part', 'is_blocked', 'plan_block_wait_s', 'take_test')
 
-# Another node tests a block if the one whose turn it is gets no request.
-_TEST_TURN_S = 5
-
 
 def is_blocked(state: NodeState, suspect: Suspect) -> bool:
     """Return whether a request must not be sent."""
@@ -60,12 +59,10 @@
     now_s = read_cluster_time_s(state)
     if block is None or not is_test_due(block, now_s):
         return False
-    turn = int(now_s / _TEST_TURN_S)
     ring = find_sharing_ring(refresh_sharing_nodes(state))
-    owner = find_owner(ring, f'{min(block.keys)}/{turn}')
+    owner = find_owner(ring, name_test_turn(block, now_s))
     if owner != state.settings.node_id:
         return False
-    start_test(state.crash_guard, block, now_s)
-    log_block(state, state.crash_guard.blocks_by_keys[block.keys], 'test')
-    state.request_gossip()
+    tested = start_test(state.crash_guard, block, now_s)
+    announce_blocks(state, [tested], 'test', Audience.everyone)
     return True
--- a/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
@@ -12,6 +12,8 @@
 from turmericcrank_core.crash_blocks import (
     CrashBlock,
     is_active,
+    is_same_state,
+    judge_parts,
     merge_block,
     record_output_of,
     report_crash,
@@ -21,6 +23,7 @@
 from turmericcrank_core.upstream_registry import ListedUpstream
 
 from turmericcrank_node.platform_port import DecodedRequest
+from turmericcrank_node.state.crash_reports import Audience, PendingReport
 from turmericcrank_node.state.in_flight_attempt import (
     InFlightAttempt,
     list_suspects,
@@ -29,8 +32,6 @@
 )
 from turmericcrank_node.state.node_state import (
     NodeState,
-    RecentOutput,
-    read_boottime_s,
     read_cluster_time_s,
 )
 from turmericcrank_node.upstreams.attempt import (
@@ -40,9 +41,10 @@
 from turmericcrank_node.upstreams.host_probe import HostStatus, probe_host
 
 __all__ = (
+    'announce_blocks',
     'detect_crash',
+    'judge_crashes',
     'fingerprint_request',
-    'log_block',
     'make_part_key',
     'make_suspect',
     'merge_crash_report',
@@ -163,7 +165,7 @@
     blocks = report_crash(state.crash_guard, record, now_s)
     if blocks is None:
         return
-    state.recent_crashes.append(record)
+    state.crash_reports.by_crash[record] = PendingReport()
     logged = list(attempts_by_request.items())[:_MAX_LOGGED]
     state.log.write(
         EventCode.upstream_failed,
@@ -176,12 +178,24 @@
             for request_id, one in logged
         ],
     )
-    _announce(state, blocks, 'crash')
+    announce_blocks(state, blocks, 'crash', Audience.everyone)
     state.request_gossip()
 
 
+def judge_crashes(state: NodeState) -> None:
+    """Judge the parts of prompts; call it in each gossip round.
+
+    All nodes come to the same result, so it is not reported at once.
+    """
+    blocks = judge_parts(state.crash_guard, read_cluster_time_s(state))
+    announce_blocks(state, blocks, 'crash', audience=None)
+
+
 def merge_crash_report(
-    state: NodeState, record: CrashRecord, source: str, *, must_forward: bool
+    state: NodeState,
+    record: CrashRecord,
+    source: str,
+    audience: Audience | None,
 ) -> bool:
     """Record a crash that another node reported.
 
@@ -189,7 +203,7 @@
         state: The node.
         record: What the other node reported.
         source: Id of the other node.
-        must_forward: Whether its other receivers depend on this node.
+        audience: Nodes that depend on this node to hear of it; None for none.
 
     Returns:
         False if it adds nothing to what this node knows.
@@ -197,9 +211,9 @@
     blocks = report_crash(state.crash_guard, record, read_cluster_time_s(state))
     if blocks is None:
         return False
-    if must_forward:
-        state.recent_crashes.append(record)
-    _announce(state, blocks, source)
+    if audience is not None:
+        state.crash_reports.by_crash[record] = PendingReport(audience)
+    announce_blocks(state, blocks, source, audience)
     return True
 
 
@@ -208,8 +222,7 @@
     key: str,
     at_s: float,
     source: str,
-    *,
-    must_forward: bool,
+    audience: Audience | None,
 ) -> bool:
     """Record output of a request that another node reports.
 
@@ -218,30 +231,44 @@
         key: Fingerprint of the request, or key of a part of its prompt.
         at_s: Time of the output on the cluster clock, in seconds.
         source: Id of the other node.
-        must_forward: Whether its other receivers depend on this node.
+        audience: Nodes that depend on this node to hear of it; None for none.
 
     Returns:
         Whether it clears a suspect.
     """
-    changed_keys = _apply_proof(state, frozenset((key,)), at_s, source)
-    if must_forward:
-        _keep_recent_outputs(state, changed_keys, at_s)
-    return bool(changed_keys)
+    keys = frozenset((key,))
+    return bool(_apply_proof(state, keys, at_s, source, audience))
 
 
 def merge_reported_block(
-    state: NodeState, block: CrashBlock, source: str
+    state: NodeState,
+    block: CrashBlock,
+    source: str,
+    audience: Audience | None,
 ) -> bool:
     """Merge a block that another node reports.
 
+    Args:
+        state: The node.
+        block: What the other node reported.
+        source: Id of the other node.
+        audience: Nodes that depend on this node to hear of it; None for none.
+
     Returns:
         Whether other nodes must learn of it at once.
     """
-    now_s = read_cluster_time_s(state)
-    is_changed = merge_block(state.crash_guard, block, now_s)
+    is_changed = merge_block(state.crash_guard, block)
+    merged = state.crash_guard.blocks_by_keys.get(block.keys)
+    if merged is None:
+        return False
     if is_changed:
-        merged = state.crash_guard.blocks_by_keys[block.keys]
-        log_block(state, merged, source)
+        _log_block(state, merged, source)
+    by_block = state.crash_reports.by_block
+    if not is_same_state(merged, block):
+        # The sender does not know the newer state.
+        by_block.setdefault(block.keys, PendingReport())
+    elif is_changed and audience is not None:
+        by_block[block.keys] = PendingReport(audience)
     return is_changed
 
 
@@ -255,40 +282,50 @@
     """Record output of a request of this node, and report what it clears."""
     if not state.crash_guard.history.crashes:
         return
-    changed_keys = _apply_proof(state, keys, at_s, 'response')
-    _keep_recent_outputs(state, changed_keys, at_s)
-
-
-def _keep_recent_outputs(
-    state: NodeState, keys: Iterable[str], at_s: float
-) -> None:
-    for key in keys:
-        state.recent_outputs_by_key[key] = RecentOutput(at_s, read_boottime_s())
+    _apply_proof(state, keys, at_s, 'response', Audience.everyone)
 
 
 def _apply_proof(
-    state: NodeState, keys: frozenset[str], at_s: float, source: str
+    state: NodeState,
+    keys: frozenset[str],
+    at_s: float,
+    source: str,
+    audience: Audience | None,
 ) -> list[str]:
     """Apply output of a request; return the keys that it clears."""
     now_s = read_cluster_time_s(state)
     output = record_output_of(state.crash_guard, keys, at_s, now_s)
-    for block in output.lifted:
-        log_block(state, block, source)
-    if output.lifted:
-        state.request_gossip()
-    _announce(state, output.blocks, source)
+    announce_blocks(state, output.lifted + output.blocks, source, audience)
+    if audience is None:
+        return output.proven_keys
+    for key in output.proven_keys:
+        state.crash_reports.by_output[key, at_s] = PendingReport(audience)
     return output.proven_keys
 
 
-def _announce(state: NodeState, blocks: list[CrashBlock], source: str) -> None:
+def announce_blocks(
+    state: NodeState,
+    blocks: Iterable[CrashBlock],
+    source: str,
+    audience: Audience | None,
+) -> None:
+    """Log blocks that have begun, ended or are tested, and report them.
+
+    Args:
+        state: The node.
+        blocks: Blocks that this node has changed.
+        source: What has changed them, or the node that reported it.
+        audience: Nodes that depend on this node to hear of it; None if they
+            hear of it, or of what led to it, from the source.
+    """
     for block in blocks:
-        log_block(state, block, source)
-    if blocks:
-        state.request_gossip()
+        _log_block(state, block, source)
+        if audience is not None:
+            state.crash_reports.by_block[block.keys] = PendingReport(audience)
+            state.request_gossip()
 
 
-def log_block(state: NodeState, block: CrashBlock, source: str) -> None:
-    """Log a block that has begun, ended, or is tested."""
+def _log_block(state: NodeState, block: CrashBlock, source: str) -> None:
     crashes = state.crash_guard.history.crashes
     state.log.write(
         EventCode.crash_block_changed,
--- a/tests/core/test_crash_blocks.py
+++ b/tests/core/test_crash_blocks.py
@@ -12,6 +12,7 @@
     find_block,
     is_active,
     is_test_due,
+    judge_parts,
     merge_block,
     record_output_of,
     report_crash,
@@ -41,6 +42,7 @@
         suspect = Suspect(f'r{number}', _KEYS, has_begun=True)
         record = CrashRecord(f'u{number}', float(number), frozenset((suspect,)))
         report_crash(guard, record, number + 0.1)
+    judge_parts(guard, 2.5)
     return guard
 
 
@@ -75,6 +77,7 @@
         at_s = 80.0 + number
         record = CrashRecord(f'v{number}', at_s, frozenset((suspect,)))
         report_crash(guard, record, at_s)
+        judge_parts(guard, at_s + 0.5)
     assert find_block(guard, _BAD)
 
 
@@ -91,6 +94,7 @@
     record_output_of(guard, _BAD.keys, 40.0, 40.0)
     unrelated = frozenset((Suspect('x', frozenset(('c',)), has_begun=True),))
     report_crash(guard, CrashRecord('w9', 50.0, unrelated), 50.0)
+    judge_parts(guard, 51.0)
     assert find_block(guard, beside) is None
 
 
@@ -118,7 +122,7 @@
     for order in permutations(same_period):
         guard = CrashGuard()
         for block in order:
-            merge_block(guard, block, 40.0)
+            merge_block(guard, block)
         outcomes.add(guard.blocks_by_keys[_KEYS])
     assert len(outcomes) == 1
 
@@ -127,9 +131,9 @@
 def test_a_merged_report_changes_nothing_when_it_is_repeated(first, others):
     guard = CrashGuard()
     for block in (first, *others):
-        merge_block(guard, block, 40.0)
+        merge_block(guard, block)
         merged = guard.blocks_by_keys[_KEYS]
-        merge_block(guard, block, 40.0)
+        merge_block(guard, block)
         assert guard.blocks_by_keys[_KEYS] == merged
 
 
@@ -141,3 +145,21 @@
     assert not is_active(guard.blocks_by_keys[_KEYS])
     expire_blocks(guard, 80_200)
     assert not guard.blocks_by_keys
+
+
+def test_a_late_report_of_a_crash_replaces_a_block_of_what_was_beside_it():
+    """One node reports its request of the first crash only after 0.1 s."""
+    guard = CrashGuard()
+    for number in range(3):
+        culprit = Suspect(f'r{number}', frozenset(('a', 'bad')), has_begun=True)
+        beside = Suspect(
+            f'n{number}', frozenset(('a', f'x{number}')), has_begun=True
+        )
+        first = CrashRecord(f'u{number}', float(number), frozenset((beside,)))
+        late = CrashRecord(f'u{number}', number + 0.1, frozenset((culprit,)))
+        report_crash(guard, first, float(number))
+        judge_parts(guard, number + 0.05)
+        report_crash(guard, late, number + 0.2)
+        judge_parts(guard, number + 0.5)
+    assert find_block(guard, Suspect('r9', frozenset(('y', 'bad'))))
+    assert find_block(guard, Suspect('n9', frozenset(('a', 'z')))) is None
--- a/tests/core/test_crash_evidence.py
+++ b/tests/core/test_crash_evidence.py
@@ -16,8 +16,9 @@
     is_suspect,
     record_proof,
 )
-from turmericcrank_core.crash_judgement import find_culprits
+from turmericcrank_core.crash_judgement import find_part_groups, find_requests
 
+_LATER_S = float('inf')
 _records = st.lists(
     st.builds(
         CrashRecord,
@@ -37,7 +38,7 @@
 
 
 def _is_poison(history, fingerprint):
-    return frozenset((fingerprint,)) in find_culprits(history, {})
+    return frozenset((fingerprint,)) in find_requests(history, {})
 
 
 def _crash_prompts(history, at_s, *prompts):
@@ -53,7 +54,10 @@
 
 
 def _culprits(history):
-    return {' '.join(sorted(keys)) for keys in find_culprits(history, {})}
+    groups = find_part_groups(history, {}, _LATER_S)
+    known = dict.fromkeys(groups, _LATER_S)
+    culprits = groups + find_requests(history, known)
+    return {' '.join(sorted(keys)) for keys in culprits}
 
 
 def test_two_crashes_identify_a_poison_request_and_no_concurrent_one():
@@ -181,7 +185,7 @@
         )
     _crash_prompts(history, 9.0, ('r9', 'c bad'))
     known = {frozenset(('a', 'bad')): float('inf')}
-    assert find_culprits(history, known) == [frozenset(('bad',))]
+    assert find_part_groups(history, known, _LATER_S) == [frozenset(('bad',))]
 
 
 def test_a_part_whose_requests_only_waited_needs_five_crashes():
--- a/tests/membership/test_crashing_parts.py
+++ b/tests/membership/test_crashing_parts.py
@@ -17,6 +17,9 @@
 
 _PART = 'crashing'
 _MAX_LATE_ARRIVALS = 3
+# What a node may spend for control.
+_MAX_BYTES_PER_S = 9000
+_CRASHING_S = 6
 # Data centres, upstreams, sound and crashing requests a second, contact time.
 _SITES = {
     7: ({'north': 3, 'south': 2, 'west': 2}, 6, 20, 0.7, 3.0),
@@ -81,6 +84,17 @@
     _run_in_simulation(act)
 
 
+@pytest.mark.parametrize('n_nodes', _SITES)
+def test_reports_of_crashes_keep_to_the_bytes_for_control(n_nodes):
+    def act():
+        simulation = _start(n_nodes)
+        simulation.run(_CRASHING_S)
+        sent_bytes_per_s = _count_sent_bytes_per_s(simulation)
+        assert sent_bytes_per_s <= _MAX_BYTES_PER_S
+
+    _run_in_simulation(act)
+
+
 @pytest.mark.parametrize('n_nodes', [7, 75])
 def test_parts_that_crash_upstreams_before_the_head_are_blocked_too(n_nodes):
     def act():
@@ -181,6 +195,17 @@
     _run_in_simulation(act)
 
 
+def _count_sent_bytes_per_s(simulation):
+    """Return what a node sends, on average, while upstreams crash."""
+    since_s = simulation.now_s - _CRASHING_S
+    n_bytes = sum(
+        message.n_bytes
+        for message in simulation.gossip.sent
+        if message.sent_s >= since_s
+    )
+    return n_bytes / len(simulation.gossip.nodes) / _CRASHING_S
+
+
 def _count_late_of_each(simulation, n_nodes, parts):
     crashes = simulation.crashes
     counts = []
--- a/tests/membership/test_gossip_topology.py
+++ b/tests/membership/test_gossip_topology.py
@@ -22,6 +22,7 @@
     record_version_response,
 )
 from turmericcrank_node.platform_port import ChangedRow, FeedPage
+from turmericcrank_node.state.crash_reports import PendingReport
 from turmericcrank_node.state.node_state import make_change_page
 from turmericcrank_node.state.table_watch import keep_recent_page
 from turmericcrank_node.upstreams.upstream_selection import count_running
@@ -227,7 +228,7 @@
     simulation = start_simulation(_MANY)
     record = CrashRecord('u1', simulation.now_s, frozenset({Suspect('bad')}))
     first = simulation.nodes[0].state
-    first.recent_crashes.append(record)
+    first.crash_reports.by_crash[record] = PendingReport()
     first.request_gossip()
     simulation.run(1.7)
     suspects_by_node = [
@@ -235,7 +236,9 @@
     ]
     assert all(history.crashes for history in suspects_by_node)
     simulation.run(3)
-    kept_crashes = [node.state.recent_crashes for node in simulation.nodes]
+    kept_crashes = [
+        node.state.crash_reports.by_crash for node in simulation.nodes
+    ]
     assert not any(kept_crashes)
 
 
--- a/tests/node/test_crash_replication.py
+++ b/tests/node/test_crash_replication.py
@@ -13,6 +13,7 @@
 )
 from turmericcrank_node.control.crash_replication import (
     is_blocked,
+    judge_crashes,
     merge_crash_report,
     record_response,
     report_crash,
@@ -62,6 +63,9 @@
         attempt = InFlightAttempt(suspect)
         ctx.in_flight[f'u{number}'] = {'r1': attempt}
         await report_crash(ctx, f'u{number}', [attempt])
+    clock.now_s += 1
+    for judging in (ctx, peer):
+        judge_crashes(judging)
     return ctx, peer
 
 
