Bound what reports of crashes add to gossip messages

Cause, the other of two: each report of a crash, with all parts of all requests there, went into every message of a round. At 75 nodes with links of 5 Mbit/s a round then takes seconds, and with it the proof that a copy is current; large changes are sent between rounds, and wait for it too. Before: tests/membership/test_many_crashes.py, 75 nodes: a copy 5.95 s old, 3 allowed. After: it passes. Conclusion: evidence must not share a queue without a bound with what proves that a node may act. The simulated nodes now know the rate of their link.

--- a/packages/core/src/turmericcrank_core/send_rate_limit.py
+++ b/packages/core/src/turmericcrank_core/send_rate_limit.py
@@ -10,12 +10,20 @@
 
 from dataclasses import dataclass
 
-__all__ = ('SendRateLimiter', 'plan_send_delay_s', 'record_sent')
+__all__ = (
+    'SendRateLimiter',
+    'plan_report_bytes',
+    'plan_send_delay_s',
+    'record_sent',
+)
 
 # With this share and this tolerance, a response queued behind the messages is
 # delayed by less than the delay at which an event counts as late.
 _LINK_SHARE = 0.2
 _BURST_TOLERANCE_S = 0.06
+# Share of a gossip round's bytes that reports of events may take.
+_REPORT_SHARE = 0.25
+_MAX_REPORT_BYTES = 8000
 
 
 @dataclass(slots=True)
@@ -51,3 +59,18 @@
         0.44
     """
     return max(0, limiter.theoretical_arrival_s - now_s - _BURST_TOLERANCE_S)
+
+
+def plan_report_bytes(
+    link_bytes_per_s: float, n_receivers: int, interval_s: float
+) -> float:
+    """Return how many bytes of reports one gossip message may hold.
+
+    Args:
+        link_bytes_per_s: Capacity of the link, in bytes per second.
+        n_receivers: Messages of a gossip round.
+        interval_s: Interval between two rounds, in seconds.
+    """
+    round_bytes = link_bytes_per_s * _LINK_SHARE * interval_s
+    share = round_bytes * _REPORT_SHARE / max(1, n_receivers)
+    return min(_MAX_REPORT_BYTES, share)
--- a/packages/node/src/turmericcrank_node/membership/gossip_fields.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_fields.py
@@ -15,6 +15,7 @@
     RolloutState,
     plan_largest_canary_share,
 )
+from turmericcrank_core.send_rate_limit import plan_report_bytes
 from turmericcrank_core.table_staleness import TableStaleness, staleness_s
 from turmericcrank_core.upstream_limits import iter_limits_to_gossip
 from turmericcrank_core.upstream_notices import iter_leaving_upstreams
@@ -44,6 +45,7 @@
 from turmericcrank_node.state.version_counts import EvidenceCounts
 
 __all__ = (
+    'ROUND_INTERVAL_S',
     'Receiver',
     'expire_gossip',
     'make_cell_fields',
@@ -54,6 +56,7 @@
     'take_small_pages',
 )
 
+ROUND_INTERVAL_S = 0.8
 _REPEAT_WINDOW_S = 1.8
 _DIGEST_TTL_S = 3
 _MAX_SMALL_PAGE_BYTES = 1000
@@ -204,8 +207,14 @@
 
 
 def expire_gossip(state: NodeState, now_s: float) -> None:
-    """Drop old crashes, which all nodes have received, and expired digests."""
-    start_report_round(state.crash_reports)
+    """Choose the reports of a round, and drop old ones and expired digests."""
+    plan = state.gossip_plan
+    max_bytes = plan_report_bytes(
+        state.settings.link_bytes_per_s,
+        len(plan.cell_peers) + len(plan.bridge_peers),
+        ROUND_INTERVAL_S,
+    )
+    start_report_round(state.crash_reports, max_bytes)
     expire_blocks(
         state.crash_guard, read_cluster_clock_s(state.cluster_clock, now_s)
     )
--- a/packages/node/src/turmericcrank_node/membership/gossip_rounds.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_rounds.py
@@ -16,6 +16,7 @@
 from turmericcrank_core.version_choice import expire_sessions
 
 from turmericcrank_node.membership.gossip_fields import (
+    ROUND_INTERVAL_S,
     Receiver,
     expire_gossip,
     make_cell_fields,
@@ -41,7 +42,6 @@
     'receive_message',
 )
 
-_ROUND_INTERVAL_S = 0.8
 _BRIDGE_ROUND_INTERVAL_S = 0.4
 _MIN_PAGES_S = 0.2
 # Slightly shorter than the round interval, since a change can start a round
@@ -183,7 +183,7 @@
     return (
         _BRIDGE_ROUND_INTERVAL_S
         if state.gossip_plan.bridge_peers
-        else _ROUND_INTERVAL_S
+        else ROUND_INTERVAL_S
     )
 
 
--- a/tests/gossip_simulation.py
+++ b/tests/gossip_simulation.py
@@ -190,7 +190,10 @@
         client=f'{data_centre}-{number}:2',
     )
     state.settings = replace(
-        state.settings, data_centre=data_centre, addresses=addresses
+        state.settings,
+        data_centre=data_centre,
+        addresses=addresses,
+        link_bytes_per_s=_LINK_BYTES_PER_S,
     )
     state.joined_s = now_s
     state.incarnation = f'{state.settings.node_id}@{now_s}'
