Serve clients of a node that reaches no upstream through its peers

Cause: a node had only its own links, and took each upstream that it did not reach for one that is down. A refused connection on a cut link also counted as a crash, and failures on it were told to all nodes. Ruled out: retry limits; no request was rejected without an attempt. Change: after a failed connection a node compares with other upstreams and with what peers reach. Cut off, it connects through a peer, which carries bytes and decides nothing, so permits, retries, deadlines and at most once stay with one node; an orderly end has a frame of its own. It is not listed for new clients meanwhile, stays ready, and blames no upstream. Conclusion: a node must not judge others by what only its own links show.

--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -57,6 +57,11 @@
     news_rejected = 612
     upstream_limit_changed = 613
     crash_block_changed = 614
+    upstreams_cut_off = 615
+    upstreams_reached = 616
+    tunnel_used = 617
+    tunnel_failed = 618
+    tunnel_served = 619
     draft_kept = 700
     draft_taken = 701
     draft_finished = 702
--- a/packages/core/src/turmericcrank_core/upstream_health.py
+++ b/packages/core/src/turmericcrank_core/upstream_health.py
@@ -14,6 +14,7 @@
     'DecayedCounts',
     'OutcomeCounts',
     'UpstreamHealth',
+    'end_ejections',
     'is_ejected',
     'merge_peer_counts',
     'recent_failure_rate',
@@ -159,6 +160,12 @@
     health.ejected_until_s_by_id[upstream_id] = now_s + ejection_s
 
 
+def end_ejections(health: UpstreamHealth) -> None:
+    """End all ejections, since their cause was not the upstreams."""
+    health.ejected_until_s_by_id.clear()
+    health.n_ejections_by_id.clear()
+
+
 def is_ejected(health: UpstreamHealth, upstream_id: str, now_s: float) -> bool:
     """Return whether an upstream is ejected."""
     return health.ejected_until_s_by_id.get(upstream_id, 0) > now_s
--- a/packages/node/src/turmericcrank_node/http_connection.py
+++ b/packages/node/src/turmericcrank_node/http_connection.py
@@ -9,13 +9,15 @@
 import socket
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Protocol
 
 import h11
 import trio
 
 __all__ = (
     'CLIENT_KEEPALIVE',
+    'UPSTREAM_KEEPALIVE',
+    'ByteStream',
     'ConnectFault',
     'Headers',
     'KeepaliveLimits',
@@ -66,11 +68,19 @@
 
 
 class ConnectFault(enum.StrEnum):
-    """Reason why a connection failed; no request was sent."""
+    """Reason why a connection failed; no request was sent.
+
+    Attributes:
+        refused: The upstream refused it.
+        timed_out: The upstream did not respond.
+        unreachable: The operating system has no connection or no route.
+        no_path: This node is cut off from all upstreams, and no peer helped.
+    """
 
     refused = 'refused'
     timed_out = 'timed out'
     unreachable = 'unreachable'
+    no_path = 'no path to any upstream'
 
 
 class ReadFault(enum.StrEnum):
@@ -90,16 +100,32 @@
     headers: Headers
 
 
+class ByteStream(Protocol):
+    """What a connection needs of its socket stream or tunnel."""
+
+    @property
+    def socket(self) -> Any:
+        """Return the socket."""
+
+    async def send_all(self, raw: bytes) -> None:
+        """Send bytes."""
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Receive bytes; empty once the other end has closed."""
+
+
 @dataclass(slots=True)
 class UpstreamConnection:
     """A connection to an upstream, used for a single request.
 
     Attributes:
-        stream: Socket of the connection.
+        stream: Socket of the connection, or tunnel through a peer.
+        tunnel_peer: Id of that peer; empty for a direct connection.
         parser: HTTP protocol state of the connection.
     """
 
-    stream: trio.SocketStream
+    stream: ByteStream
+    tunnel_peer: str = ''
     parser: h11.Connection = field(
         default_factory=lambda: h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -28,6 +28,8 @@
 from turmericcrank_node.state.node_state import NodeState
 from turmericcrank_node.state.router_metrics import make_metrics
 from turmericcrank_node.state.table_watch import serve_table_watch
+from turmericcrank_node.tunnel.tunnel_server import serve_tunnels
+from turmericcrank_node.upstreams.upstream_access import serve_path_probes
 
 __all__ = ('make_state', 'run_router_node')
 
@@ -70,6 +72,8 @@
         for task in (
             serve_table_watch,
             serve_gossip,
+            serve_path_probes,
+            serve_tunnels,
             run_rollout_control,
             _watch_settings,
         ):
--- a/packages/node/src/turmericcrank_node/serving/in_flight_request.py
+++ b/packages/node/src/turmericcrank_node/serving/in_flight_request.py
@@ -202,8 +202,11 @@
     now_s = read_boottime_s()
     upstream_id = upstream.upstream_id
     is_bad = bool(attempt_result.fault)
-    record_outcome(state.upstream_health, upstream_id, is_bad, now_s)
-    if attempt_result.is_unresponsive:
+    # While this node is cut off, a failure may be that of its own links.
+    may_blame = not state.upstream_path.is_cut_off
+    if may_blame or not is_bad:
+        record_outcome(state.upstream_health, upstream_id, is_bad, now_s)
+    if may_blame and attempt_result.is_unresponsive:
         start_ejection(state.upstream_health, upstream_id, now_s)
     if is_bad:
         state.log.write(
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -23,6 +23,7 @@
 from turmericcrank_core.upstream_health import UpstreamHealth
 from turmericcrank_core.upstream_limits import UpstreamLimits
 from turmericcrank_core.upstream_notices import UpstreamNotices
+from turmericcrank_core.upstream_path import UpstreamPath
 from turmericcrank_core.upstream_registry import UpstreamRegistry
 from turmericcrank_core.version_choice import KnownVersions, RecentSessions
 from turmericcrank_core.version_health import FirstTokenLatencies
@@ -163,6 +164,9 @@
     attempts_by_upstream: dict[str, dict[str, InFlightAttempt]] = field(
         default_factory=dict
     )
+    upstream_path: UpstreamPath = field(default_factory=UpstreamPath)
+    path_check: trio.Lock = field(default_factory=trio.Lock)
+    cut_off: trio.Event = field(default_factory=trio.Event)
     crash_guard: CrashGuard = field(default_factory=CrashGuard)
     crash_reports: CrashReports = field(default_factory=CrashReports)
     retries_by_service: dict[str, RetryWindow] = field(default_factory=dict)
@@ -178,8 +182,9 @@
     is_stopping: bool = False
     is_rejecting_requests: bool = False
     closing: trio.Event = field(default_factory=trio.Event)
-    # Written by router.
+    # Written by router and tunnel_server; tunnels count as requests.
     n_requests: int = 0
+    n_tunnels: int = 0
 
     @property
     def limits(self) -> ClientLimits:
@@ -209,7 +214,11 @@
 
 
 def describe_self(state: NodeState) -> Peer:
-    """Return the description of this node that its peers receive."""
+    """Return the description of this node that its peers receive.
+
+    While it is cut off from the upstreams it serves its clients through its
+    peers, but does not attract others.
+    """
     settings = state.settings
     return Peer(
         settings.node_id,
@@ -217,6 +226,6 @@
         settings.data_centre,
         settings.addresses.peer,
         settings.addresses.client,
-        state.is_ready,
+        state.is_ready and not state.upstream_path.is_cut_off,
         read_boottime_s(),
     )
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/tunnel/__init__.py
@@ -0,0 +1,1 @@
+"""Tunnels: connections to an upstream through another node."""
--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -6,7 +6,6 @@
 
 import trio
 from turmericcrank_core.event_codes import EventCode
-from turmericcrank_core.network_address import split_address
 from turmericcrank_core.upstream_notices import defer_upstream, record_leaving
 from turmericcrank_core.upstream_registry import ListedUpstream
 
@@ -14,7 +13,6 @@
     ConnectFault,
     ReadFault,
     UpstreamConnection,
-    connect_upstream,
     is_success,
     read_response_head,
     write_request,
@@ -26,6 +24,7 @@
 )
 from turmericcrank_node.state.node_state import NodeState, read_boottime_s
 from turmericcrank_node.upstreams.request_limits import process_request_limit
+from turmericcrank_node.upstreams.upstream_access import connect_to_upstream
 
 __all__ = (
     'HOST_UNRESPONSIVE',
@@ -40,7 +39,6 @@
 HOST_UNRESPONSIVE = 'host silent'
 NO_EVENT = 'timed out waiting for an event'
 NO_RESPONSE = 'timed out waiting for a response'
-_CONNECT_TIMEOUT_S = 0.4
 _DEADLINE_MARGIN_S = 0.02
 _UNRESPONSIVE_REASONS = frozenset((NO_RESPONSE, HOST_UNRESPONSIVE, NO_EVENT))
 _NOT_RUN_STATUSES = frozenset(
@@ -82,10 +80,14 @@
     @property
     def is_unresponsive(self) -> bool:
         """Whether the upstream was not reached or stopped sending."""
-        return (
-            self.kind is FaultKind.not_sent
-            or self.reason in _UNRESPONSIVE_REASONS
-        )
+        if self.kind is FaultKind.not_sent:
+            return self.is_upstream_fault
+        return self.reason in _UNRESPONSIVE_REASONS
+
+    @property
+    def is_upstream_fault(self) -> bool:
+        """Whether the upstream may be at fault, not this node's links."""
+        return self.reason != ConnectFault.no_path
 
 
 @dataclass(slots=True, frozen=True)
@@ -123,19 +125,23 @@
         The open response, whose connection the caller must close, or a
         fault; the connection is then closed already.
     """
-    host, port = split_address(upstream.address)
     # Stop shortly before the deadline, so that the client can still be told
     # that the request was not sent.
-    connect_s = min(
-        _CONNECT_TIMEOUT_S, metadata.time_left_s - _DEADLINE_MARGIN_S
-    )
+    connect_s = metadata.time_left_s - _DEADLINE_MARGIN_S
     if connect_s <= 0:
         return AttemptFault(
             FaultKind.not_sent, 'too little time left to connect'
         )
-    connection = await connect_upstream(host, port, connect_s)
+    connection = await connect_to_upstream(state, upstream, connect_s)
     if isinstance(connection, ConnectFault):
         return AttemptFault(FaultKind.not_sent, connection.value)
+    if connection.tunnel_peer:
+        state.log.write(
+            EventCode.tunnel_used,
+            request=call.request_id,
+            upstream=upstream.upstream_id,
+            peer=connection.tunnel_peer,
+        )
     is_open = False
     try:
         outcome = await _write_and_read_head(
--- a/packages/node/src/turmericcrank_node/upstreams/host_probe.py
+++ b/packages/node/src/turmericcrank_node/upstreams/host_probe.py
@@ -9,16 +9,16 @@
 from collections.abc import Iterator
 
 import trio
-from turmericcrank_core.network_address import split_address
 from turmericcrank_core.upstream_health import is_ejected
 from turmericcrank_core.upstream_registry import ListedUpstream
 
-from turmericcrank_node.http_connection import ConnectFault, connect_upstream
+from turmericcrank_node.http_connection import ConnectFault
 from turmericcrank_node.state.node_state import NodeState, read_boottime_s
+from turmericcrank_node.upstreams.upstream_access import connect_to_upstream
 
 __all__ = ('HostStatus', 'is_host_unresponsive', 'probe_host')
 
-_CONNECT_TIMEOUT_S = 0.4
+_PROBE_TIMEOUT_S = 1.5
 _MAX_CONTROLS = 2
 
 
@@ -43,6 +43,7 @@
     ConnectFault.refused: HostStatus.refuses,
     ConnectFault.timed_out: HostStatus.silent,
     ConnectFault.unreachable: HostStatus.unknown,
+    ConnectFault.no_path: HostStatus.unknown,
 }
 
 
@@ -53,7 +54,7 @@
         ``unknown`` if neither the host nor any control was reached: this
         node's own link may then be saturated or down.
     """
-    fault = await _probe(upstream)
+    fault = await _probe(state, upstream)
     if fault is not None and fault is not ConnectFault.refused:
         fault = await _probe_with_controls(state, upstream)
     return _STATUS_BY_FAULT[fault]
@@ -66,7 +67,7 @@
     fault_by_id: dict[str, ConnectFault | None] = {}
 
     async def record_probe(target: ListedUpstream) -> None:
-        fault_by_id[target.upstream_id] = await _probe(target)
+        fault_by_id[target.upstream_id] = await _probe(state, target)
 
     async with trio.open_nursery() as nursery:
         for target in (upstream, *_choose_controls(state, upstream)):
@@ -94,9 +95,10 @@
     return await probe_host(state, upstream) is HostStatus.silent
 
 
-async def _probe(upstream: ListedUpstream) -> ConnectFault | None:
-    host, port = split_address(upstream.address)
-    probe = await connect_upstream(host, port, _CONNECT_TIMEOUT_S)
+async def _probe(
+    state: NodeState, upstream: ListedUpstream
+) -> ConnectFault | None:
+    probe = await connect_to_upstream(state, upstream, _PROBE_TIMEOUT_S)
     if isinstance(probe, ConnectFault):
         return probe
     probe.abort()
