Write no phase over the final phase of a rollout

Cause: a node whose decision to roll back was made before it knew of done found the row at a lower phase number than its own, and wrote over it; the condition on the version of the row did not help, as it had just read that version. Ruled out: merging by gossip, which never invents a phase. Change: the phases that may follow each one stand in one table, and a write that is not in it is dropped after the stored phase has been taken over. Elsewhere: phases are the only final state that the platform's path writes; claims and leases of our own interface were not looked at again.

--- a/packages/core/src/turmericcrank_core/rollout_phases.py
+++ b/packages/core/src/turmericcrank_core/rollout_phases.py
@@ -16,6 +16,7 @@
     'RolloutOrder',
     'RolloutPhase',
     'RolloutState',
+    'may_follow',
     'merge_state',
     'plan_canary_share',
     'plan_full_s',
@@ -47,6 +48,26 @@
         return self >= RolloutPhase.done
 
 
+# The phases that may be written over each phase. A final one is followed by
+# none: the upstreams that it ends do not come back.
+_SUCCESSORS = {
+    RolloutPhase.ordered: frozenset(
+        (RolloutPhase.canary, RolloutPhase.full, RolloutPhase.rolled_back)
+    ),
+    RolloutPhase.canary: frozenset(
+        (RolloutPhase.full, RolloutPhase.rolled_back)
+    ),
+    RolloutPhase.full: frozenset((RolloutPhase.done, RolloutPhase.rolled_back)),
+    RolloutPhase.done: frozenset(),
+    RolloutPhase.rolled_back: frozenset(),
+}
+
+
+def may_follow(current: RolloutPhase, planned: RolloutPhase) -> bool:
+    """Return whether a phase may be written over another one."""
+    return planned in _SUCCESSORS[current]
+
+
 @dataclass(slots=True, frozen=True)
 class RolloutOrder:
     """Rollout order of the operators.
--- a/packages/node/src/turmericcrank_node/control/rollout_control.py
+++ b/packages/node/src/turmericcrank_node/control/rollout_control.py
@@ -13,6 +13,7 @@
 from turmericcrank_core.rollout_phases import (
     RolloutPhase,
     RolloutState,
+    may_follow,
     merge_state,
     plan_phase,
 )
@@ -147,7 +148,7 @@
         began_s = row.began_ms / _MS - state.store_clock_offset_s
         rollout = RolloutState(row.order, row.phase, began_s)
         _merge_rollout(state, rollout)
-        if row.phase >= planned or not is_same:
+        if not is_same or not may_follow(row.phase, planned):
             return
     began_ms = (rollout.began_s + state.store_clock_offset_s) * _MS
     version = row.version if row else 0
--- a/tests/control/test_rollout_control.py
+++ b/tests/control/test_rollout_control.py
@@ -217,3 +217,22 @@
     rollout = state.rollouts_by_service['engine']
     assert rollout.phase is RolloutPhase.rolled_back
     assert rows.rollouts['engine'].version == 7
+
+
+def test_a_finished_rollout_is_not_rolled_back_by_a_node_that_knows_less():
+    """A node finds the version bad while another one has written ``done``.
+
+    The upstreams of the old version stop at ``done``, those of the new one at
+    ``rolled_back``: none is left.
+    """
+    rows = FakeRows()
+    done = RolloutRow(_ORDER, RolloutPhase.done, 0, 3)
+    rows.rollouts['engine'] = done
+    state = _make_state(rows, phase=RolloutPhase.full, age_s=29)
+    for number in range(60):
+        _record_response(state, number, is_error=True)
+    assert _find_fault(state)
+    _run_rollout_control(state)
+    assert rows.rollouts['engine'] == done
+    assert state.rollouts_by_service['engine'].phase is RolloutPhase.done
+    assert find_rollout(state, 'engine').phase is RolloutPhase.done
