Order the versions of the store across its returns from a copy

Cause: after a return from a copy the store gives versions out again. A node that had read version V went on after V; once the store had reached V again, it answered without the changes up to there, and that counted as a proof, also for the copies of all peers. Ruled out: a lost change in gossip; no node had read it. Change: the adapter joins the era and the version into one number, larger in each later era, for all that is kept, compared and gossiped; feed reads across eras count as lost history, so the table is read from scratch. An era that falls or can't be read is ignored. Numbers of rollout orders and conditions of writes stay those of the store. A table in several pages is complete up to the version of its first page only.

--- a/packages/node/src/turmericcrank_node/store_connection.py
+++ b/packages/node/src/turmericcrank_node/store_connection.py
@@ -7,6 +7,7 @@
 
 from turmericcrank_node.http_connection import (
     ConnectFault,
+    Headers,
     ReadFault,
     ResponseHead,
     UpstreamConnection,
@@ -37,9 +38,16 @@
 
 @dataclass(slots=True, frozen=True)
 class StoreResponse:
-    """Response of the store."""
+    """Response of the store.
+
+    Attributes:
+        status: Status code.
+        headers: Header fields with lower-case names.
+        body: Complete body.
+    """
 
     status: int
+    headers: Headers
     body: bytes
 
 
@@ -102,4 +110,4 @@
     response_body = await read_body(connection, _MAX_BODY_BYTES)
     if isinstance(response_body, ReadFault):
         return StoreUnavailable(response_body.value)
-    return StoreResponse(head.status, response_body)
+    return StoreResponse(head.status, head.headers, response_body)
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -22,7 +22,8 @@
 class _ScriptedStore:
     """Responds to each call with the next status and body.
 
-    For None it closes the connection without a response.
+    A third item is the era of the store. For None it closes the connection
+    without a response.
     """
 
     def __init__(self, *responses):
@@ -40,10 +41,15 @@
         self.calls.append(raw)
         response = self.responses.pop(0)
         if response is not None:
-            status, body = response
+            status, body, *era = response
             text = orjson.dumps(body)
-            head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n'
-            await stream.send_all(head.encode() + text)
+            lines = [
+                f'HTTP/1.1 {status} X',
+                f'Content-Length: {len(text)}',
+                *(f'Store-Era: {one}' for one in era),
+            ]
+            head = '\r\n'.join((*lines, '', ''))
+            await stream.send_all(head.encode('latin-1', 'replace') + text)
         await stream.aclose()
 
 
@@ -108,6 +114,56 @@
     assert isinstance(outcome, error_type)
 
 
+def _read_then_follow(first, *later):
+    """Read a table, then its changes after that; return all outcomes."""
+
+    async def follow(store):
+        pages = [await store.read_table('op')]
+        for _ in later:
+            pages.append(await store.read_changes('op', pages[0].version, 0))
+        return pages
+
+    return _call_store(follow, first, *later)[0]
+
+
+def test_a_version_that_is_given_out_again_hides_no_change():
+    """The store came back from a copy and has reached the same version."""
+    page, same_era, later_era = _read_then_follow(
+        (200, _make_page(), 4), (200, _make_page(), 4), (200, _make_page(), 5)
+    )
+    assert same_era == page
+    assert isinstance(later_era, HistoryLost)
+
+
+def test_a_version_of_a_later_era_is_the_newer_one():
+    row = _make_stored_row('a', 3, 1)
+    before, _ = _call_store(
+        lambda store: store.read_table('op'), (200, _make_page(ver=900), 4)
+    )
+    after, _ = _call_store(
+        lambda store: store.read_table('op'), (200, _make_page(row, ver=5), 5)
+    )
+    assert after.version > before.version
+    assert after.rows[0].version > before.version
+
+
+@pytest.mark.parametrize('era', ['-1', 'x', '9' * 400, '3', '\u0664'])
+def test_an_era_that_falls_or_cannot_be_read_is_ignored(era):
+    page, followed = _read_then_follow(
+        (200, _make_page(), 4), (200, _make_page(), era)
+    )
+    assert followed == page
+
+
+def test_changes_between_the_pages_of_a_table_are_read_again():
+    page, _ = _call_store(
+        lambda store: store.read_table('servers'),
+        (200, _make_page(_make_stored_row('a', 3, 1), truncated=True, ver=4)),
+        (200, _make_page(_make_stored_row('b', 5, 2), ver=6)),
+    )
+    assert page.version == 4
+
+
 def test_rollout_progress_is_written_conditionally_with_its_status():
     order = RolloutOrder('s1', 'v2', 12, 33)
     row = RolloutRow(order, RolloutPhase.rolled_back, 5.0, 8)
