Give an upstream only the time that connecting to it has left

Seen on reading the change again: the time left that goes with a request was taken before the connection. Change: what connecting took is subtracted. Before: test_an_upstream_gets_only_the_time_that_the_way_to_it_has_left failed. Conclusion: a deadline is computed when it is sent.

--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -1,7 +1,7 @@
 """Sends a request to one upstream and reads the response head."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 import trio
@@ -132,6 +132,7 @@
         return AttemptFault(
             FaultKind.not_sent, 'too little time left to connect'
         )
+    began_s = trio.current_time()
     connection = await connect_to_upstream(state, upstream, connect_s)
     if isinstance(connection, ConnectFault):
         return AttemptFault(FaultKind.not_sent, connection.value)
@@ -145,7 +146,11 @@
     is_open = False
     try:
         outcome = await _write_and_read_head(
-            state, call, metadata, connection, upstream
+            state,
+            call,
+            _subtract_time(metadata, trio.current_time() - began_s),
+            connection,
+            upstream,
         )
         is_open = isinstance(outcome, OpenResponse)
     finally:
@@ -154,6 +159,14 @@
     return outcome
 
 
+def _subtract_time(
+    metadata: ForwardMetadata, elapsed_s: float
+) -> ForwardMetadata:
+    """Return the metadata with the time that connecting has left."""
+    left_s = max(0, metadata.time_left_s - elapsed_s)
+    return replace(metadata, time_left_s=left_s)
+
+
 async def _write_and_read_head(
     state: NodeState,
     call: DecodedRequest,
--- a/tests/serving/test_cut_off.py
+++ b/tests/serving/test_cut_off.py
@@ -49,26 +49,26 @@
         self.cut = make_node_state(make_table(*routes), node_id='n1')
         self.helper = make_node_state(make_table(*routes), node_id='n2')
         self.upstreams = []
-        self.walls = []
+        self.unreachable = []
         self.helping = trio.CancelScope()
 
     async def start(self, scripts, is_silent):
         for number in range(_N_UPSTREAMS):
             upstream = FakeUpstream(scripts)
-            wall = FakeUpstream([])
-            for fake in (upstream, wall):
+            dead = FakeUpstream([])
+            for fake in (upstream, dead):
                 await self.nursery.start(fake.serve)
             if is_silent:
-                wall.stop_accepting()
+                dead.stop_accepting()
             else:
-                wall.refuse_connections()
+                dead.refuse_connections()
             self.upstreams.append(upstream)
-            self.walls.append(wall)
+            self.unreachable.append(dead)
             name = f'u{number}'
             real = make_upstream(name, address=upstream.address)
-            unreachable = make_upstream(name, address=wall.address)
+            listed = make_upstream(name, address=dead.address)
             list_upstreams(self.helper, real)
-            list_upstreams(self.cut, unreachable)
+            list_upstreams(self.cut, listed)
         await self.nursery.start(self._serve_helper)
 
     async def _serve_helper(self, task_status):
@@ -133,6 +133,18 @@
     assert site.cut.is_ready
 
 
+def test_an_upstream_gets_only_the_time_that_the_way_to_it_has_left():
+    """The check of the own links takes most of a second here."""
+
+    async def act(site):
+        await site.send(request_bytes('/bays/1', wait='4'))
+        heads = [up.requests for up in site.upstreams if up.requests]
+        return float(heads[0][0]['left'])
+
+    left_s = _run(act, [[response_bytes()]], is_silent=True)
+    assert left_s < 3.5
+
+
 def test_a_stream_passes_a_tunnel_event_by_event():
     async def act(site):
         return await site.send(request_bytes('/bays/1'), b'0\r\n\r\n')
@@ -254,13 +266,13 @@
     """Upstreams and peers are silent; the request may go elsewhere instead."""
 
     async def act(site):
-        site.walls.append(FakeUpstream([]))
-        await site.nursery.start(site.walls[-1].serve)
-        site.walls[-1].stop_accepting()
+        site.unreachable.append(FakeUpstream([]))
+        await site.nursery.start(site.unreachable[-1].serve)
+        site.unreachable[-1].stop_accepting()
         peer = next(iter(site.cut.members.by_id.values()))
         for name in ('n2', 'n3', 'n4'):
             site.cut.members.by_id[name] = replace(
-                peer, node_id=name, peer_address=site.walls[-1].address
+                peer, node_id=name, peer_address=site.unreachable[-1].address
             )
         upstream = next(iter(site.cut.upstream_registry.by_id.values()))
         began_s = trio.current_time()
