Keep one list of what a lost connection raises

Cause: the same three errors stood in four modules. Change: CONNECTION_ERRORS in http_connection; no behaviour changes. Conclusion: one copy of each type.

--- a/packages/node/src/turmericcrank_node/http_connection.py
+++ b/packages/node/src/turmericcrank_node/http_connection.py
@@ -16,6 +16,7 @@
 
 __all__ = (
     'CLIENT_KEEPALIVE',
+    'CONNECTION_ERRORS',
     'UPSTREAM_KEEPALIVE',
     'ByteStream',
     'ConnectFault',
@@ -36,6 +37,13 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# What a lost connection raises.
+CONNECTION_ERRORS = (
+    OSError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
+
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
 _MAX_INTERIM_HEADS = 16
@@ -205,7 +213,7 @@
     raw += parser.send(h11.EndOfMessage()) or b''
     try:
         await connection.stream.send_all(raw)
-    except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+    except CONNECTION_ERRORS:
         return False
     return True
 
@@ -281,7 +289,7 @@
             return event
         try:
             received = await connection.stream.receive_some(_READ_BYTES)
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+        except CONNECTION_ERRORS:
             return ReadFault.reset
         parser.receive_data(received)
 
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -12,6 +12,7 @@
 
 from turmericcrank_node.http_connection import (
     CLIENT_KEEPALIVE,
+    CONNECTION_ERRORS,
     Headers,
     set_socket_options,
 )
@@ -27,11 +28,6 @@
 _CLOSE_WAIT_S = 1
 _MAX_PIPELINED_BYTES = 65536
 _TIMED_OUT = object()
-_CONNECTION_ERRORS = (
-    OSError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-)
 
 
 @dataclass(slots=True, frozen=True)
@@ -125,7 +121,7 @@
             return True
         try:
             await self.stream.send_all(raw)
-        except _CONNECTION_ERRORS as error:
+        except CONNECTION_ERRORS as error:
             self.disconnect_reason = _describe_disconnect(error)
             return False
         return True
@@ -233,7 +229,7 @@
     while n_bytes < _MAX_PIPELINED_BYTES:
         try:
             received = await connection.stream.receive_some(_READ_BYTES)
-        except _CONNECTION_ERRORS as error:
+        except CONNECTION_ERRORS as error:
             received = b''
             exchange.disconnect_reason = _describe_disconnect(error)
         if not received:
@@ -317,7 +313,7 @@
         await connection.stream.send_all(
             connection.parser.send(continue_response) or b''
         )
-    except _CONNECTION_ERRORS:
+    except CONNECTION_ERRORS:
         return False
     return True
 
@@ -340,7 +336,7 @@
             return event
         try:
             received = await connection.stream.receive_some(_READ_BYTES)
-        except _CONNECTION_ERRORS:
+        except CONNECTION_ERRORS:
             return None
         connection.parser.receive_data(received)
 
@@ -360,7 +356,7 @@
         with trio.move_on_after(idle_s):
             try:
                 received = await connection.stream.receive_some(_READ_BYTES)
-            except _CONNECTION_ERRORS:
+            except CONNECTION_ERRORS:
                 received = b''
         nursery.cancel_scope.cancel()
     if received:
@@ -394,5 +390,5 @@
         with trio.move_on_after(_CLOSE_WAIT_S):
             while await connection.stream.receive_some(_READ_BYTES):
                 await trio.lowlevel.checkpoint()
-    except _CONNECTION_ERRORS:
+    except CONNECTION_ERRORS:
         return
--- a/packages/node/src/turmericcrank_node/tunnel/tunnel_client.py
+++ b/packages/node/src/turmericcrank_node/tunnel/tunnel_client.py
@@ -12,6 +12,7 @@
 from turmericcrank_core.upstream_registry import ListedUpstream
 
 from turmericcrank_node.http_connection import (
+    CONNECTION_ERRORS,
     ConnectFault,
     UpstreamConnection,
     connect_upstream,
@@ -36,11 +37,6 @@
 }
 # They tell of the upstream, not of the peer.
 _UPSTREAM_STATUSES = frozenset((*_FAULT_BY_STATUS, TunnelStatus.not_listed))
-_CONNECTION_ERRORS = (
-    OSError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-)
 
 
 async def connect_through_peer(
@@ -122,7 +118,7 @@
         with trio.move_on_after(_REPLY_TIMEOUT_S):
             await connection.stream.send_all(pack_request(request))
             status = await read_status(connection.stream)
-    except _CONNECTION_ERRORS:
+    except CONNECTION_ERRORS:
         status = None
     finally:
         if status is not TunnelStatus.open:
--- a/packages/node/src/turmericcrank_node/tunnel/tunnel_server.py
+++ b/packages/node/src/turmericcrank_node/tunnel/tunnel_server.py
@@ -13,6 +13,7 @@
 from turmericcrank_core.upstream_registry import ListedUpstream, iter_usable
 
 from turmericcrank_node.http_connection import (
+    CONNECTION_ERRORS,
     UPSTREAM_KEEPALIVE,
     ByteStream,
     ConnectFault,
@@ -43,11 +44,6 @@
     ConnectFault.timed_out: TunnelStatus.timed_out,
     ConnectFault.unreachable: TunnelStatus.timed_out,
 }
-_CONNECTION_ERRORS = (
-    OSError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-)
 
 
 async def serve_tunnels(state: NodeState) -> None:
@@ -68,7 +64,7 @@
         with stream.socket:
             set_socket_options(stream.socket, UPSTREAM_KEEPALIVE)
             await _serve_request(state, stream)
-    except _CONNECTION_ERRORS:
+    except CONNECTION_ERRORS:
         # The other node has closed the tunnel, or is gone.
         return
     except Exception as error:
@@ -159,7 +155,7 @@
     while True:
         try:
             received = await stream.receive_some(_READ_BYTES)
-        except _CONNECTION_ERRORS:
+        except CONNECTION_ERRORS:
             received = b''
         if not received:
             scope.cancel()
@@ -172,7 +168,7 @@
     """Send bytes; return whether the connection accepts more."""
     try:
         await upstream.send_all(raw)
-    except _CONNECTION_ERRORS:
+    except CONNECTION_ERRORS:
         return False
     return True
 
@@ -187,7 +183,7 @@
     while True:
         try:
             received = await upstream.receive_some(_READ_BYTES)
-        except _CONNECTION_ERRORS:
+        except CONNECTION_ERRORS:
             return
         await stream.send_all(pack_frame(received))
         if not received:
