Let a node vouch only for versions that it has followed

Cause: a node that starts, or gets 410, reads the complete table. A deleted row leaves no trace there, yet the largest version of the rows that are left was gossiped as the last change. Peers with a copy from before the deletion took it as a proof that they were current, and did not read. Class: a version, or a peer's word, taken as a proof of more than it shows. Ruled out as a mend: that each node reads for itself (the store's rates). Change: a proof also says up to which version the copy is complete and since which version the sender knows every change; a complete read sets the latter to its own version. A peer that knows more gives its knowledge back to nodes that restarted, so a restart costs one read. A copy that is proven current is complete up to the peer's version; before, the next changes did not continue it and each node read them itself. A read that a message overtakes keeps the version that it asked from. Conclusion: a whole read can't stand for the history that it replaces.

--- a/packages/core/src/turmericcrank_core/table_staleness.py
+++ b/packages/core/src/turmericcrank_core/table_staleness.py
@@ -1,9 +1,10 @@
 """Bounds the staleness of a node's copy of a table.
 
 The platform's store is linearizable, so a read proves that the copy was
-current when the read was sent. A peer's read counts too: if the last change
-that the peer has applied is not newer than the version that this node has
-read, this node's copy was current when the peer's read was sent.
+current when the read was sent. A peer's read counts too, if the peer knows
+that nothing has changed since the version that this node has read. It knows
+this only from the version on from which it has followed every change: a read
+of the complete table shows no row that was deleted before.
 
 Ages are measured on a clock that keeps running while the process is
 suspended. The age of a peer's read counts from the time at which this node
@@ -20,6 +21,7 @@
     'is_stale',
     'plan_read_interval_factor',
     'plan_read_threshold_s',
+    'record_complete_read',
     'record_peer_page',
     'record_peer_state',
     'record_read',
@@ -41,12 +43,16 @@
     """State of a peer's copy of one table.
 
     Attributes:
+        version: Store version up to which the peer's copy is complete.
         change: Version of the last change that the peer has applied.
+        known_since: The peer knows every change after this version.
         current_as_of_s: Latest time at which the peer's copy is known to have
             been current, on this node's clock, in seconds.
     """
 
+    version: int
     change: int
+    known_since: int
     current_as_of_s: float
 
 
@@ -57,6 +63,8 @@
     Attributes:
         read_version: Store version up to which the copy is complete.
         change: Version of the last change in the copy.
+        known_since: This node knows every change after this version, up to
+            ``read_version``.
         current_as_of_s: Latest time at which the copy is known to have been
             current, in seconds; None before the first read.
         peer_change: Newest change that a peer has reported.
@@ -64,6 +72,7 @@
 
     read_version: int = -1
     change: int = 0
+    known_since: int = 0
     current_as_of_s: float | None = None
     peer_change: int = 0
 
@@ -71,7 +80,7 @@
 def record_read(
     copy_state: TableStaleness, version: int, change: int, read_s: float
 ) -> None:
-    """Record a read of the store.
+    """Record a read of the changes since the version of the copy.
 
     Args:
         copy_state: State of the copy; updated in place.
@@ -84,6 +93,23 @@
     _advance_current_as_of(copy_state, read_s)
 
 
+def record_complete_read(
+    copy_state: TableStaleness, version: int, change: int, read_s: float
+) -> None:
+    """Record a read of the complete table, which replaces the copy.
+
+    The changes before it are unknown, since deleted rows leave no trace.
+
+    Args:
+        copy_state: State of the copy; updated in place.
+        version: Store version up to which the copy is now complete.
+        change: Latest version of the rows; 0 if there are none.
+        read_s: Time at which the read was sent, in seconds.
+    """
+    copy_state.known_since = version
+    record_read(copy_state, version, change, read_s)
+
+
 def can_apply_page(
     copy_state: TableStaleness, after: int, version: int
 ) -> bool:
@@ -112,8 +138,13 @@
 def record_peer_state(copy_state: TableStaleness, peer: PeerTableState) -> None:
     """Update the state with what a peer reported about the same table."""
     copy_state.peer_change = max(copy_state.peer_change, peer.change)
-    if peer.change <= copy_state.read_version:
-        _advance_current_as_of(copy_state, peer.current_as_of_s)
+    if copy_state.read_version < max(peer.change, peer.known_since):
+        return
+    _advance_current_as_of(copy_state, peer.current_as_of_s)
+    if peer.known_since < copy_state.known_since <= peer.version:
+        copy_state.known_since = peer.known_since
+        copy_state.change = max(copy_state.change, peer.change)
+    copy_state.read_version = max(copy_state.read_version, peer.version)
 
 
 def is_stale(copy_state: TableStaleness) -> bool:
--- a/packages/dev/src/turmericcrank_dev/news_bench.py
+++ b/packages/dev/src/turmericcrank_dev/news_bench.py
@@ -53,7 +53,7 @@
         echo_s=999.5,
         echo_incarnation='ba9876543210',
         echo_held_s=0.25,
-        proofs=[[40, 0.5], [90, 0.5]],
+        proofs=[(45, 40, 0, 0.5), (95, 90, 0, 0.5)],
         running_by_id=dict.fromkeys(upstream_ids[:16], 2),
         sessions=[[name[:10], 'v1', 400] for name in upstream_ids],
         tallies=[[name, 40, 1] for name in upstream_ids[:16]],
--- a/packages/node/src/turmericcrank_node/membership/gossip_fields.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_fields.py
@@ -31,6 +31,7 @@
     CellSummary,
     LimitRow,
     PageRow,
+    ProofRow,
     pack_summary,
 )
 from turmericcrank_node.state.crash_reports import (
@@ -333,8 +334,8 @@
     return [*key, counts.n_responses, counts.n_errors, counts.n_slow]
 
 
-def make_staleness_rows(state: NodeState, now_s: float) -> list[list[float]]:
-    """Return the last change and the staleness of each table copy."""
+def make_staleness_rows(state: NodeState, now_s: float) -> list[ProofRow]:
+    """Return what this node knows of its copy of each table."""
     return [
         _make_staleness_row(staleness, now_s)
         for staleness in (
@@ -344,10 +345,16 @@
     ]
 
 
-def _make_staleness_row(staleness: TableStaleness, now_s: float) -> list[float]:
-    if staleness.current_as_of_s is None:
-        return [staleness.change, -1]
-    return [staleness.change, staleness_s(staleness, now_s)]
+def _make_staleness_row(staleness: TableStaleness, now_s: float) -> ProofRow:
+    age_s = -1.0
+    if staleness.current_as_of_s is not None:
+        age_s = staleness_s(staleness, now_s)
+    return (
+        staleness.read_version,
+        staleness.change,
+        staleness.known_since,
+        age_s,
+    )
 
 
 def _iter_members_to_share(state: NodeState, now_s: float) -> Iterator[Peer]:
--- a/packages/node/src/turmericcrank_node/membership/gossip_merge.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_merge.py
@@ -273,11 +273,12 @@
         message.echo_s >= 0 and message.echo_incarnation == state.incarnation
     )
     own = (state.configuration_staleness, state.upstream_staleness)
-    for staleness, (change, age_s) in zip(own, message.proofs, strict=True):
+    for staleness, proof in zip(own, message.proofs, strict=True):
+        *versions, age_s = proof
         current_as_of_s = float('-inf')
         if has_own_echo and age_s >= 0:
             current_as_of_s = message.echo_s + message.echo_held_s - age_s
-        record_peer_state(staleness, PeerTableState(change, current_as_of_s))
+        record_peer_state(staleness, PeerTableState(*versions, current_as_of_s))
 
 
 def _merge_limit(
--- a/packages/node/src/turmericcrank_node/membership/gossip_message.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_message.py
@@ -25,6 +25,7 @@
     'MemberRow',
     'OutputRow',
     'PageRow',
+    'ProofRow',
     'RolloutRow',
     'StoreRow',
     'pack_gossip',
@@ -35,13 +36,14 @@
     'unpack_summary',
 )
 
-_FORMAT = 8
+_FORMAT = 9
 _COMPRESSION_LEVEL = 1
 _MAX_DECOMPRESSED_BYTES = 0x100000
 _MAX_TABLE_NUMBER = 1
 _MAX_PHASE_NUMBER = 4
 
 _Count = Annotated[int, Meta(ge=0)]
+ProofRow = tuple[int, _Count, _Count, float]
 MemberRow = tuple[str, str, str, str, bool, int]
 EvidenceRow = tuple[str, str, _Count, _Count, _Count]
 # Fingerprint, keys of the prompt parts, whether the response had begun.
@@ -114,8 +116,10 @@
             for none.
         echo_incarnation: Incarnation of the receiver that sent that message.
         echo_held_s: Time since the sender received that message, in seconds.
-        proofs: For each table: version of the last change applied, and the
-            staleness of the copy in seconds; negative if it was never read.
+        proofs: For each table: version up to which the sender's copy is
+            complete, version of the last change, version after which the
+            sender knows every change, and the staleness of the copy in
+            seconds; negative if it was never read.
         running_by_id: Requests in progress, by upstream; None if the
             message does not report them.
         sessions: Session keys with version and age in milliseconds.
@@ -155,7 +159,7 @@
     echo_s: float
     echo_incarnation: str
     echo_held_s: float
-    proofs: Annotated[list[tuple[int, float]], Meta(min_length=2, max_length=2)]
+    proofs: Annotated[list[ProofRow], Meta(min_length=2, max_length=2)]
     running_by_id: dict[str, _Count] | None = None
     sessions: list[tuple[str, str, int]] = []
     tallies: list[tuple[str, _Count, _Count]] = []
--- a/packages/node/src/turmericcrank_node/membership/gossip_rounds.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_rounds.py
@@ -224,7 +224,7 @@
         now_s,
         message.incarnation,
         message.echo_s < 0,
-        tuple(change for change, _age_s in message.proofs),
+        tuple(change for _, change, *_rest in message.proofs),
     )
     if merge_message(state, message, now_s):
         gossip.silent_ids.discard(message.node_id)
--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -22,6 +22,7 @@
     is_stale,
     plan_read_interval_factor,
     plan_read_threshold_s,
+    record_complete_read,
     record_read,
     staleness_s,
 )
@@ -67,6 +68,7 @@
 _RECENT_PAGE_S = 1.8
 _STARTUP_S = 1.5
 _MAX_PAGE_BYTES = 8000
+_NEVER_READ = -1
 
 ApplyRows = Callable[[NodeState, FeedPage, bool], None]
 
@@ -226,52 +228,72 @@
     The complete table is read at the start, and after the store has dropped
     the changes since this node's version.
     """
-    staleness = watch.staleness
-    wait_s = planned.wait_s
+    # Messages of peers may advance the copy during the read.
+    after = watch.staleness.read_version
     sent_s = read_boottime_s()
-    outcome: FeedPage | HistoryLost | StoreUnavailable
-    is_complete = staleness.read_version < 0
-    if is_complete:
-        outcome = await state.platform.store.read_table(watch.table)
-    else:
-        outcome = await state.platform.store.read_changes(
-            watch.table, staleness.read_version, wait_s
-        )
-    state.metrics.store_s.labels(type(outcome).__name__).observe(
-        max(0, read_boottime_s() - sent_s - wait_s)
-    )
+    outcome = await _call_store(state, watch.table, after, planned)
     state.log.write(
         EventCode.table_read,
         table=watch.table,
-        reason='whole' if is_complete else planned.reason,
-        proof_age_s=round(staleness_s(staleness, sent_s), 2),
+        reason=planned.reason if after >= 0 else 'whole',
+        proof_age_s=round(staleness_s(watch.staleness, sent_s), 2),
         outcome=type(outcome).__name__,
     )
     if isinstance(outcome, HistoryLost):
         state.log.write(EventCode.store_history_lost, table=watch.table)
-        staleness.read_version = -1
-        return
-    if isinstance(outcome, StoreUnavailable):
+        watch.staleness.read_version = _NEVER_READ
+    elif isinstance(outcome, StoreUnavailable):
         _record_failed_read(state, watch, outcome.reason)
-        return
+    else:
+        # An empty response shows that nothing changed while the store waited.
+        waited_s = 0 if outcome.rows else planned.wait_s
+        current_as_of_s = min(sent_s + waited_s, read_boottime_s())
+        has_changes = _record_page(
+            state, watch, outcome, after, current_as_of_s
+        )
+        if has_changes or planned.wait_s > 0:
+            state.request_gossip()
+
+
+async def _call_store(
+    state: NodeState, table: str, after: int, planned: _PlannedRead
+) -> FeedPage | HistoryLost | StoreUnavailable:
+    """Read the changes after a version, or the complete table."""
+    store = state.platform.store
+    sent_s = read_boottime_s()
+    outcome = await (
+        store.read_changes(table, after, planned.wait_s)
+        if after >= 0
+        else store.read_table(table)
+    )
+    state.metrics.store_s.labels(type(outcome).__name__).observe(
+        max(0, read_boottime_s() - sent_s - planned.wait_s)
+    )
+    return outcome
+
+
+def _record_page(
+    state: NodeState,
+    watch: TableWatch,
+    page: FeedPage,
+    after: int,
+    current_as_of_s: float,
+) -> bool:
+    """Apply what was read; return whether it holds changes new to this copy."""
+    staleness = watch.staleness
+    is_complete = after < 0
     _record_successful_read(state, watch)
-    state.store_clock_offset_s = outcome.now_ms / _MS - read_boottime_s()
+    state.store_clock_offset_s = page.now_ms / _MS - read_boottime_s()
     if not is_complete:
         keep_recent_page(
-            state,
-            make_change_page(
-                watch.number, staleness.read_version, outcome, sent_s
-            ),
+            state, make_change_page(watch.number, after, page, current_as_of_s)
         )
-    watch.apply(state, outcome, is_complete)
-    change = max((row.version for row in outcome.rows), default=0)
-    # An empty response shows that nothing changed while the store waited.
-    waited_s = 0 if outcome.rows else wait_s
-    current_as_of_s = min(sent_s + waited_s, read_boottime_s())
-    has_new_changes = change > staleness.change
-    record_read(staleness, outcome.version, change, current_as_of_s)
-    if has_new_changes or wait_s > 0:
-        state.request_gossip()
+    watch.apply(state, page, is_complete)
+    change = max((row.version for row in page.rows), default=0)
+    has_changes = change > staleness.change
+    record = record_complete_read if is_complete else record_read
+    record(staleness, page.version, change, current_as_of_s)
+    return has_changes
 
 
 def _record_failed_read(
--- a/tests/core/test_table_staleness.py
+++ b/tests/core/test_table_staleness.py
@@ -1,6 +1,9 @@
 """Tests of the staleness bound of a table copy."""
 
-from hypothesis import given
+from bisect import bisect_right
+from dataclasses import dataclass, field
+
+from hypothesis import example, given
 from hypothesis import strategies as st
 from turmericcrank_core.table_staleness import (
     PeerTableState,
@@ -8,13 +11,14 @@
     is_stale,
     plan_read_interval_factor,
     plan_read_threshold_s,
+    record_complete_read,
     record_peer_state,
     record_read,
     staleness_s,
 )
 
-_versions = st.integers(0, 6)
-_times = st.floats(0, 50)
+_N_NODES = 3
+_nodes = st.integers(0, _N_NODES - 1)
 
 
 def test_a_table_that_was_never_read_is_infinitely_stale():
@@ -24,39 +28,112 @@
 def test_a_peer_with_a_newer_change_does_not_lower_the_staleness():
     copy_state = TableStaleness()
     record_read(copy_state, version=7, change=3, read_s=1)
-    record_peer_state(copy_state, PeerTableState(change=8, current_as_of_s=5))
+    record_peer_state(copy_state, PeerTableState(8, 8, 0, current_as_of_s=5))
     assert staleness_s(copy_state, 6) == 5
     assert is_stale(copy_state)
     record_read(copy_state, version=8, change=8, read_s=6)
     assert not is_stale(copy_state)
 
 
+@dataclass
+class _Store:
+    """A store that keeps each version of one table, and a copy a node."""
+
+    tables: list = field(default_factory=lambda: [{}])
+    times_s: list = field(default_factory=lambda: [0])
+    copies: list = field(default_factory=lambda: [{} for _ in range(_N_NODES)])
+    states: list = field(
+        default_factory=lambda: [TableStaleness() for _ in range(_N_NODES)]
+    )
+
+    @property
+    def version(self):
+        return len(self.tables) - 1
+
+    def change(self, key, is_deletion, now_s):
+        table = dict(self.tables[-1])
+        if not is_deletion:
+            table[key] = self.version + 1
+        elif key in table:
+            table.pop(key)
+        self.tables.append(table)
+        self.times_s.append(now_s)
+
+    def read(self, node, now_s):
+        state = self.states[node]
+        if state.read_version < 0:
+            self.copies[node] = dict(self.tables[-1])
+            change = max(self.tables[-1].values(), default=0)
+            record_complete_read(state, self.version, change, now_s)
+        else:
+            self.copies[node] = dict(self.tables[-1])
+            record_read(state, self.version, self._last_change(state), now_s)
+
+    def restart(self, node):
+        self.states[node] = TableStaleness()
+        self.copies[node] = {}
+
+    def report(self, sender, receiver):
+        """Let a node tell another one how current its copy is."""
+        told = self.states[sender]
+        if told.current_as_of_s is not None:
+            peer = PeerTableState(
+                told.read_version,
+                told.change,
+                told.known_since,
+                told.current_as_of_s,
+            )
+            record_peer_state(self.states[receiver], peer)
+
+    def _last_change(self, state):
+        """Return the version of the last change after the copy."""
+        changed = [
+            version
+            for version in range(
+                max(1, state.read_version + 1), self.version + 1
+            )
+            if self.tables[version] != self.tables[version - 1]
+        ]
+        return max(changed, default=0)
+
+
 @given(
-    st.lists(_versions, max_size=6),
-    st.lists(st.tuples(_times, st.booleans(), st.integers(0, 1)), max_size=8),
+    st.lists(
+        st.one_of(
+            st.tuples(st.just('change'), st.integers(0, 3), st.booleans()),
+            st.tuples(st.just('read'), _nodes),
+            st.tuples(st.just('restart'), _nodes),
+            st.tuples(st.just('report'), _nodes, _nodes),
+        ),
+        max_size=25,
+    )
 )
-def test_a_copy_holds_every_change_up_to_its_current_as_of_time(
-    changes_s, reads
-):
-    """Two nodes read one store and report to each other.
+@example(
+    [
+        ('change', 0, False),
+        ('change', 1, False),
+        ('read', 0),
+        ('change', 1, True),
+        ('read', 1),
+        ('report', 1, 0),
+    ]
+)
+def test_a_copy_holds_every_change_up_to_its_current_as_of_time(steps):
+    """Nodes read, restart and report to each other, while rows change.
 
-    The store changes between reads, at the given times.
+    A node applies changes only when it reads them, so a copy that is called
+    current by a proof alone must equal the table.
     """
-    change_times_s = sorted(float(change) for change in changes_s)
-    copy_states = [TableStaleness(), TableStaleness()]
-    for read_s, sends, reader in sorted(reads):
-        store_version = sum(change_s <= read_s for change_s in change_times_s)
-        record_read(copy_states[reader], store_version, store_version, read_s)
-        if sends:
-            peer = PeerTableState(copy_states[reader].change, read_s)
-            record_peer_state(copy_states[1 - reader], peer)
-    for copy_state in copy_states:
-        if copy_state.current_as_of_s is not None:
-            expected_version = sum(
-                change_s <= copy_state.current_as_of_s
-                for change_s in change_times_s
-            )
-            assert copy_state.read_version >= expected_version
+    store = _Store()
+    for now_s, (action, *arguments) in enumerate(steps, start=1):
+        if action in {'change', 'read'}:
+            arguments.append(now_s)
+        getattr(store, action)(*arguments)
+    for copy, state in zip(store.copies, store.states, strict=True):
+        if state.current_as_of_s is not None:
+            n_changes = bisect_right(store.times_s, state.current_as_of_s)
+            assert state.read_version >= n_changes - 1
+            assert copy == store.tables[state.read_version]
 
 
 def test_read_thresholds_in_the_reading_cell_grow_with_the_rank():
--- a/tests/membership/test_gossip_messages.py
+++ b/tests/membership/test_gossip_messages.py
@@ -58,28 +58,11 @@
     select_upstream,
 )
 
+from tests.gossip_builders import make_gossip_message
 from tests.router_builders import make_route, make_table, make_upstream
 from tests.router_fakes import list_upstreams, make_node_state
 
 
-def _make_message(**fields):
-    defaults = {
-        'node_id': 'n2',
-        'incarnation': 'a',
-        'data_centre': 'dc1',
-        'peer_address': '127.0.0.1:5',
-        'client_address': '127.0.0.1:6',
-        'is_ready': True,
-        'sent_s': 3.0,
-        'cluster_s': 3.0,
-        'echo_s': -1.0,
-        'echo_incarnation': '',
-        'echo_held_s': 0.0,
-        'proofs': [(0, -1), (0, -1)],
-    }
-    return GossipMessage(**{**defaults, **fields})
-
-
 def _make_receiver(node_id='n2', **fields):
     return Receiver(node_id, **{'is_cell_peer': True, **fields})
 
@@ -121,7 +104,7 @@
 @given(st.integers(0, 24), _WRONG_VALUES)
 def test_a_field_of_the_wrong_type_raises_no_error(index, wrong_value):
     """A malformed datagram used to terminate the whole process."""
-    parts = msgpack.unpackb(pack_gossip(_make_message(**_FULL_FIELDS)))
+    parts = msgpack.unpackb(pack_gossip(make_gossip_message(**_FULL_FIELDS)))
     parts[index] = wrong_value
     message = unpack_gossip(msgpack.packb(parts))
     if message is not None:
@@ -132,7 +115,7 @@
     state = _make_state()
     gossip = GossipState()
     receive_datagram(state, gossip, b'\x93no')
-    receive_datagram(state, gossip, pack_gossip(_make_message()))
+    receive_datagram(state, gossip, pack_gossip(make_gossip_message()))
     assert 'news_rejected' in state.log.names()
     assert 'n2' in state.members.by_id
 
@@ -143,7 +126,7 @@
 
 
 def test_a_message_is_unchanged_by_encoding_and_decoding():
-    message = _make_message(
+    message = make_gossip_message(
         running_by_id={'u1': 2}, sessions=[('s', 'v1', 500)]
     )
     assert unpack_gossip(pack_gossip(message)) == message
@@ -164,11 +147,11 @@
     staleness = state.configuration_staleness
     staleness.current_as_of_s = sent_s - 100
     now_s = sent_s + echo_delay_s + buffered_s
-    message = _make_message(
+    message = make_gossip_message(
         echo_s=sent_s,
         echo_incarnation=state.incarnation,
         echo_held_s=echo_delay_s,
-        proofs=[[1, age_s], [0, -1]],
+        proofs=[[1, 1, 0, age_s], [-1, 0, 0, -1]],
     )
     merge_message(state, message, now_s)
     assert staleness_s(staleness, now_s) >= buffered_s + age_s - 1e-6
@@ -178,7 +161,9 @@
     state = _make_state()
     before = state.configuration_staleness.current_as_of_s
     merge_message(
-        state, _make_message(proofs=[[1, 0.0], [0, -1]]), read_boottime_s()
+        state,
+        make_gossip_message(proofs=[[1, 1, 0, 0.0], [-1, 0, 0, -1]]),
+        read_boottime_s(),
     )
     assert state.configuration_staleness.current_as_of_s == before
 
@@ -187,10 +172,10 @@
     """After a power loss, the VM's boot-time clock restarts from zero."""
     state = _make_state()
     before = state.configuration_staleness.current_as_of_s
-    message = _make_message(
+    message = make_gossip_message(
         echo_s=before + 5000,
         echo_incarnation='of an earlier start',
-        proofs=[[1, 0.1], [0, -1]],
+        proofs=[[1, 1, 0, 0.1], [-1, 0, 0, -1]],
     )
     merge_message(state, message, read_boottime_s())
     assert state.configuration_staleness.current_as_of_s == before
@@ -199,7 +184,9 @@
 def test_a_newer_change_reported_by_a_peer_is_recorded():
     state = _make_state()
     merge_message(
-        state, _make_message(proofs=[[9, 0.0], [0, -1]]), read_boottime_s()
+        state,
+        make_gossip_message(proofs=[[9, 9, 0, 0.0], [-1, 0, 0, -1]]),
+        read_boottime_s(),
     )
     assert state.configuration_staleness.peer_change == 9
     record_read(state.configuration_staleness, 9, 9, read_boottime_s())
@@ -210,13 +197,15 @@
     state = _make_state()
     state.running_by_id['u1'] = 1
     merge_message(
-        state, _make_message(running_by_id={'u1': 4}), read_boottime_s()
+        state, make_gossip_message(running_by_id={'u1': 4}), read_boottime_s()
     )
     merge_message(
-        state, _make_message(running_by_id={'u1': 2}), read_boottime_s()
+        state, make_gossip_message(running_by_id={'u1': 2}), read_boottime_s()
     )
     assert count_running(state, 'u1') == 3
-    merge_message(state, _make_message(running_by_id={}), read_boottime_s())
+    merge_message(
+        state, make_gossip_message(running_by_id={}), read_boottime_s()
+    )
     assert count_running(state, 'u1') == 1
 
 
@@ -226,7 +215,7 @@
     canary = ['engine', 'v2', 20.0, 5, int(RolloutPhase.canary), 9.0]
     session = [['engine/s', 'v2', 200]]
     for rollouts in ([done], [canary]):
-        message = _make_message(rollouts=rollouts, sessions=session)
+        message = make_gossip_message(rollouts=rollouts, sessions=session)
         merge_message(state, message, read_boottime_s())
     phase = state.rollouts_by_service['engine'].phase
     assert phase is RolloutPhase.done
@@ -241,7 +230,9 @@
     )
     staleness = state.upstream_staleness
     page = (1, 1, 5, pack_rows([('u1', 4, b'x'), ('u2', 5, None)]))
-    message = _make_message(pages=[page], proofs=[[0, -1], [5, 0.1]])
+    message = make_gossip_message(
+        pages=[page], proofs=[[-1, 0, 0, -1], [5, 5, 0, 0.1]]
+    )
     merge_message(state, message, read_boottime_s())
     merge_message(state, message, read_boottime_s())
     assert decoded_keys == ['u1', 'u2']
@@ -252,7 +243,9 @@
 def test_changes_after_a_gap_are_not_applied():
     state = _make_state()
     page = (1, 3, 5, pack_rows([('u1', 4, b'x')]))
-    message = _make_message(pages=[page], proofs=[[0, -1], [5, 0.1]])
+    message = make_gossip_message(
+        pages=[page], proofs=[[-1, 0, 0, -1], [5, 5, 0, 0.1]]
+    )
     merge_message(state, message, read_boottime_s())
     assert state.upstream_staleness.read_version == 1
     assert is_stale(state.upstream_staleness)
@@ -262,7 +255,7 @@
     state = _make_state()
     before_s = state.upstream_staleness.current_as_of_s
     page = (1, 1, 5, pack_rows([('u1', 4, b'x')]))
-    merge_message(state, _make_message(pages=[page]), read_boottime_s())
+    merge_message(state, make_gossip_message(pages=[page]), read_boottime_s())
     assert state.upstream_staleness.current_as_of_s == before_s
 
 
@@ -281,8 +274,8 @@
 def test_crashes_reported_by_a_peer_identify_a_poison_request():
     state = _make_state()
     bad, good = ('bad', [], False), ('good', [], False)
-    first = _make_message(crashes=[['u1', 10.0, [bad, good]]])
-    second = _make_message(crashes=[['u2', 20.0, [bad]]])
+    first = make_gossip_message(crashes=[['u1', 10.0, [bad, good]]])
+    second = make_gossip_message(crashes=[['u2', 20.0, [bad]]])
     for message in (first, first, second, second):
         merge_message(state, message, read_boottime_s())
     assert is_blocked(state, Suspect('bad'))
@@ -299,7 +292,7 @@
     ]
     new_state = _make_state()
     merge_message(
-        new_state, _make_message(leavers=sent_rows), read_boottime_s()
+        new_state, make_gossip_message(leavers=sent_rows), read_boottime_s()
     )
     list_upstreams(new_state, make_upstream('u1', born_ms=7))
     requirements = UpstreamRequirements('engine', 's1', '', '')
@@ -371,7 +364,9 @@
     state = _make_state()
     for running_by_id, expected in (({'u1': 2}, 2), (None, 2), ({}, 0)):
         merge_message(
-            state, _make_message(running_by_id=running_by_id), read_boottime_s()
+            state,
+            make_gossip_message(running_by_id=running_by_id),
+            read_boottime_s(),
         )
         assert count_running(state, 'u1') == expected
 
@@ -388,7 +383,7 @@
         )
         for node_id in ('n2', 'n3', 'n4'):
             merge_message(
-                state, _make_message(node_id=node_id), read_boottime_s()
+                state, make_gossip_message(node_id=node_id), read_boottime_s()
             )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(serve_gossip, state)
@@ -427,7 +422,7 @@
 def test_a_limit_reported_by_a_peer_is_kept_and_forwarded():
     state = _make_state()
     list_upstreams(state, make_upstream('u1'))
-    message = _make_message(
+    message = make_gossip_message(
         cell='north', limits=[('u1', 0.5, False, 1e6, 1e6)], cluster_s=1e6
     )
     merge_message(state, message, read_boottime_s())
@@ -442,7 +437,9 @@
     now_s = read_boottime_s()
     merge_message(
         state,
-        _make_message(limits=[('u1', 0.5, False, 3.0, 3.0)], cluster_s=3.0),
+        make_gossip_message(
+            limits=[('u1', 0.5, False, 3.0, 3.0)], cluster_s=3.0
+        ),
         now_s,
     )
     fields = make_cell_fields(state, now_s + 100, has_counts=False)
