Do not let a late response of the store undo newer changes

What callers may see: an upstream that is draining, or a rollout order that was replaced, is in use again at one node until the next change of its row (DRAIN, ROUTE). Cause: while a read of the changes waits for its response, a message of a peer may bring newer changes of the same rows. The response was applied on top, and the copy still counted as complete up to the newer version, so nothing ever read the change again. Ruled out: the configuration itself, which only ever takes a larger revision. Change: rows up to the version of the copy are dropped from a response. Test: test_a_late_response_of_the_store_does_not_undo_a_newer_change failed before (the upstream was listed as ready), passes now. Conclusion: what is applied is decided by the copy at that moment, not at the time at which the read was sent.

--- a/packages/node/src/turmericcrank_node/state/table_watch.py
+++ b/packages/node/src/turmericcrank_node/state/table_watch.py
@@ -288,7 +288,7 @@
         keep_recent_page(
             state, make_change_page(watch.number, after, page, current_as_of_s)
         )
-    watch.apply(state, page, is_complete)
+    watch.apply(state, _drop_known_rows(page, staleness), is_complete)
     change = max((row.version for row in page.rows), default=0)
     has_changes = change > staleness.change
     record = record_complete_read if is_complete else record_read
@@ -296,6 +296,18 @@
     return has_changes
 
 
+def _drop_known_rows(page: FeedPage, staleness: TableStaleness) -> FeedPage:
+    """Drop changes that this copy has had since the read was sent.
+
+    A message of a peer may have brought them, with later ones that these would
+    undo.
+    """
+    rows = tuple(
+        row for row in page.rows if row.version > staleness.read_version
+    )
+    return FeedPage(rows, page.version, page.now_ms)
+
+
 def _record_failed_read(
     state: NodeState, watch: TableWatch, reason: str
 ) -> None:
--- a/tests/state/test_table_proofs.py
+++ b/tests/state/test_table_proofs.py
@@ -1,5 +1,7 @@
 """What a node may conclude from how current a peer's copy is."""
 
+from dataclasses import replace
+
 import trio
 from turmericcrank_core.table_staleness import (
     TableStaleness,
@@ -8,12 +10,13 @@
 )
 from turmericcrank_node.membership.gossip_fields import make_staleness_rows
 from turmericcrank_node.membership.gossip_merge import merge_message
+from turmericcrank_node.membership.gossip_message import pack_rows
 from turmericcrank_node.platform_port import ChangedRow, FeedPage
 from turmericcrank_node.state import table_watch
 from turmericcrank_node.state.node_state import read_boottime_s
 
 from tests.gossip_builders import make_gossip_message
-from tests.router_builders import make_route, make_table
+from tests.router_builders import make_route, make_table, make_upstream
 from tests.router_fakes import FakeRows, make_node_state
 
 # Versions of the store: a copy, the change of the rows that are left, and the
@@ -106,3 +109,25 @@
     _read(reader)
     _report(reader, other)
     assert other.upstream_staleness.read_version == _NOW
+
+
+def test_a_late_response_of_the_store_does_not_undo_a_newer_change():
+    """A message with a newer change may arrive while the response is late."""
+    state = _make_node_with_copy('reader')
+    ready, draining = make_upstream('u1'), make_upstream('u1', is_draining=True)
+    listed_by_body = {b'ready': ready, b'draining': draining}
+    newer = pack_rows([('u1', _NOW, b'draining')])
+
+    async def answer_late(*_asked):
+        page = make_gossip_message(pages=[(1, _COPY, _NOW, newer)])
+        merge_message(state, page, read_boottime_s())
+        rows = (ChangedRow('u1', _DELETION, b'ready'),)
+        return FeedPage(rows, _DELETION, 0)
+
+    state.platform = replace(
+        state.platform,
+        store=replace(state.platform.store, read_changes=answer_late),
+        decode_upstream=lambda row: listed_by_body[row.body],
+    )
+    _read(state)
+    assert state.upstream_registry.by_id['u1'] == draining
