Judge crashes in the same order at all nodes, whatever their hash seed

Cause of the difference: groups of parts with equally many crashes and carriers were taken in the order of a set, so two nodes (and two plays) could blame different ones first, though the code says that all nodes come to the same result; sets also decided the order of rows in messages, thus their compressed sizes and, at the rate of the link, their times. Ruled out: the clocks (two plays with one hash seed were equal to the byte). Change: ties are broken by the names of the parts; what is encoded has a fixed order. Test: tests/membership/test_repeatable_plays.py failed before; two plays of 75 nodes with different hash seeds now send the same messages.

--- a/packages/core/src/turmericcrank_core/crash_evidence.py
+++ b/packages/core/src/turmericcrank_core/crash_evidence.py
@@ -124,7 +124,7 @@
     """
     proven = [
         key
-        for key in keys
+        for key in sorted(keys)
         if history.proven_s_by_key.get(key, -math.inf)
         < history.crashed_s_by_key.get(key, -math.inf)
         < at_s
--- a/packages/core/src/turmericcrank_core/crash_judgement.py
+++ b/packages/core/src/turmericcrank_core/crash_judgement.py
@@ -107,7 +107,7 @@
         crashes, _ = _explain(crashes, known, until_s)
     return [
         frozenset((fingerprint,))
-        for fingerprint in _iter_requests_to_blame(history, crashes)
+        for fingerprint in sorted(_iter_requests_to_blame(history, crashes))
     ]
 
 
@@ -209,7 +209,7 @@
             if not _is_blamed(group, until_s_by_known)
             and _has_enough_crashes(group, crashes, rule)
         ),
-        key=lambda group: (len(group.crash_indices), -len(group.carriers)),
+        key=_rank_group,
         reverse=True,
     )
     return next(
@@ -218,6 +218,12 @@
     )
 
 
+def _rank_group(group: _PartGroup) -> tuple[int, int, list[str]]:
+    """Return the sort key of a group; the names let all nodes agree."""
+    n_crashes = len(group.crash_indices)
+    return n_crashes, -len(group.carriers), sorted(group.parts)
+
+
 def _is_blamed(
     group: _PartGroup, until_s_by_known: Mapping[frozenset[str], float]
 ) -> bool:
--- a/packages/node/src/turmericcrank_node/membership/crash_fields.py
+++ b/packages/node/src/turmericcrank_node/membership/crash_fields.py
@@ -40,7 +40,7 @@
         list(by_keys), min(len(by_keys), _N_REPEATED_BLOCKS)
     )
     changed = iter_pending(state.crash_reports.by_block, audience)
-    chosen = {*changed, *repeated}
+    chosen = dict.fromkeys((*changed, *repeated))
     for keys in chosen:
         if keys in by_keys:
             yield make_block_row(by_keys[keys])
--- a/packages/node/src/turmericcrank_node/membership/crash_rows.py
+++ b/packages/node/src/turmericcrank_node/membership/crash_rows.py
@@ -11,10 +11,10 @@
 
 def make_crash_row(crash: CrashRecord) -> list[Any]:
     """Encode a crash: upstream, time, and a row for each suspect."""
-    suspects = [
-        [suspect.fingerprint, list(suspect.parts), suspect.has_begun]
+    suspects = sorted(
+        [suspect.fingerprint, sorted(suspect.parts), suspect.has_begun]
         for suspect in crash.suspects
-    ]
+    )
     return [crash.upstream_id, crash.at_s, suspects]
 
 
--- a/packages/node/src/turmericcrank_node/membership/gossip_fields.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_fields.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -278,7 +278,10 @@
 
 
 def _make_cell_digest(state: NodeState, now_s: float) -> CellDigest:
-    cell_peer_ids = {peer.node_id for peer in state.gossip_plan.cell_peers}
+    # In a fixed order, as all that is encoded: a play repeats by its seed.
+    cell_peer_ids = dict.fromkeys(
+        peer.node_id for peer in state.gossip_plan.cell_peers
+    )
     members = [
         _make_member_row(peer, now_s)
         for peer in iter_alive(state.members, now_s)
@@ -298,7 +301,7 @@
 
 
 def _sum_in_progress(
-    state: NodeState, cell_peer_ids: set[str]
+    state: NodeState, cell_peer_ids: Iterable[str]
 ) -> dict[str, int]:
     running_by_id = Counter(state.running_by_id)
     for node_id in cell_peer_ids:
