Refuse request bodies that find no memory before they are read

Cause: a node accepted any number of bodies and kept each until its response had ended; memory-mb was not read. While it was sent, a body was copied twice more. Class: a resource without a bound that clients fill. A large body is sent without a copy. ClientExchange has a module of its own.

--- a/packages/core/src/turmericcrank_core/codes.py
+++ b/packages/core/src/turmericcrank_core/codes.py
@@ -47,6 +47,7 @@
     overloaded = 3009
     unreachable = 3010
     part_blocked = 3011
+    memory_full = 3012
     outcome_unknown = 4001
     upstream_failed = 4002
     stream_broken = 4003
@@ -138,6 +139,9 @@
     ResultCode.part_blocked: _not_run(
         503, 'A part of the prompt crashes upstreams and is not sent.'
     ),
+    ResultCode.memory_full: _not_run(
+        503, 'The node has no memory for the body now.'
+    ),
     ResultCode.outcome_unknown: CodeInfo(
         503,
         ExecutionStatus.unknown,
--- a/packages/node/src/turmericcrank_node/http_connection.py
+++ b/packages/node/src/turmericcrank_node/http_connection.py
@@ -46,6 +46,8 @@
 
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
+# Smaller bodies are sent with the head, in one segment or a few.
+_MAX_COPIED_BYTES = 65536
 _MAX_INTERIM_HEADS = 16
 _KEEPALIVE_PROBES = 2
 _UPSTREAM_UNACKNOWLEDGED_MS = 3000
@@ -198,21 +200,25 @@
     method: bytes,
     target: bytes,
     headers: Headers,
-    body: bytes,
+    body: bytes | bytearray,
 ) -> bool:
     """Write a complete request; False if the connection broke first.
 
     An upstream may respond before it has read the body, so the response is
-    worth reading even after a failed write.
+    worth reading even after a failed write. A large body is not copied.
     """
     parser = connection.parser
     request = h11.Request(method=method, target=target, headers=headers)
-    raw = parser.send(request) or b''
+    head = parser.send(request) or b''
+    parts = [head]
     if body:
-        raw += parser.send(h11.Data(data=body)) or b''
-    raw += parser.send(h11.EndOfMessage()) or b''
+        parts += parser.send_with_data_passthrough(h11.Data(data=body)) or ()
+    parts.append(parser.send(h11.EndOfMessage()) or b'')
+    if len(body) <= _MAX_COPIED_BYTES:
+        parts = [b''.join(parts)]
     try:
-        await connection.stream.send_all(raw)
+        for part in filter(None, parts):
+            await connection.stream.send_all(part)
     except CONNECTION_ERRORS:
         return False
     return True
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -100,6 +100,7 @@
         store_address: ``IP:port`` of the platform's store.
         bounds: Guarantees of the site.
         link_bytes_per_s: Capacity of the VM's link, in bytes per second.
+        memory_bytes: Memory that the process may use.
     """
 
     node_id: str
@@ -109,6 +110,7 @@
     store_address: str
     bounds: OperatingLimits = OperatingLimits()
     link_bytes_per_s: float = 125e6
+    memory_bytes: float = 256e6
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -8,6 +8,7 @@
 from functools import partial
 
 import trio
+from turmericcrank_core.byte_budget import make_body_budget
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.network_address import split_address
 
@@ -24,7 +25,7 @@
     handle_health_check,
     handle_metrics_scrape,
 )
-from turmericcrank_node.serving.router import handle_request
+from turmericcrank_node.serving.router import handle_request, reject_body
 from turmericcrank_node.state.node_state import NodeState
 from turmericcrank_node.state.router_metrics import make_metrics
 from turmericcrank_node.state.table_watch import serve_table_watch
@@ -55,6 +56,7 @@
         metrics=metrics,
         incarnation=uuid.uuid4().hex[:_INCARNATION_DIGITS],
         random_source=random.Random(),
+        body_budget=make_body_budget(settings.memory_bytes),
     )
 
 
@@ -99,9 +101,11 @@
     host, port = split_address(address)
     handlers = ConnectionHandlers(
         partial(endpoint, state),
+        partial(reject_body, state),
         lambda: state.limits,
         lambda: state.is_stopping,
         state.closing,
+        state.body_budget,
     )
     async with trio.open_nursery() as nursery:
         listeners = await trio.open_tcp_listeners(
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -1,24 +1,32 @@
 """Serves the HTTP/1.1 requests of one client connection."""
 
-import errno
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from typing import Any
 
 import h11
 import trio
+from turmericcrank_core.byte_budget import (
+    ByteBudget,
+    release_bytes,
+    reserve_bytes,
+)
 from turmericcrank_core.routing import ClientLimits
 
 from turmericcrank_node.http_connection import (
     CLIENT_KEEPALIVE,
     CONNECTION_ERRORS,
     Headers,
+    find_header,
     set_socket_options,
 )
+from turmericcrank_node.serving.client_exchange import (
+    ClientExchange,
+    describe_disconnect,
+)
 
 __all__ = (
-    'ClientExchange',
     'ClientRequest',
     'ConnectionHandlers',
     'serve_client_connection',
@@ -38,7 +46,7 @@
         method: Request method.
         target: Request target (path and query), unchanged.
         headers: Header fields with lower-case names.
-        body: Complete body.
+        body: Complete body; not changed once it has been read.
         arrived_s: Monotonic time at which the request head was read, in
             seconds.
     """
@@ -46,94 +54,10 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     arrived_s: float
 
 
-@dataclass(slots=True)
-class ClientExchange:
-    """The response to one request.
-
-    Attributes:
-        stream: Client socket.
-        parser: HTTP protocol state of the connection.
-        is_last: Whether the connection closes after this response.
-        is_started: Whether the response head has been sent.
-        is_complete: Whether the response has been sent to its end.
-        status: Status code of the response; 0 before its head is sent.
-        disconnect_reason: How the client disconnected: ``closed``, or the
-            symbolic name of the errno; empty while it is connected.
-    """
-
-    stream: trio.SocketStream
-    parser: h11.Connection
-    is_last: bool = False
-    is_started: bool = False
-    is_complete: bool = False
-    status: int = 0
-    disconnect_reason: str = ''
-
-    async def start(
-        self, status: int, headers: Headers, first: bytes = b''
-    ) -> bool:
-        """Send the response head and, if given, the first bytes of the body.
-
-        Returns:
-            False if the client has disconnected.
-        """
-        raw = self._write_head(status, headers)
-        if first:
-            raw += self.parser.send(h11.Data(data=first)) or b''
-        return await self._write(raw)
-
-    async def send(self, part: bytes) -> bool:
-        """Send a part of the body; False if the client has disconnected."""
-        return await self._write(self.parser.send(h11.Data(data=part)) or b'')
-
-    async def finish(self) -> bool:
-        """End the response; False if the client has disconnected."""
-        raw = self.parser.send(h11.EndOfMessage()) or b''
-        self.is_complete = await self._write(raw)
-        return self.is_complete
-
-    async def send_response(
-        self, status: int, headers: Headers, body: bytes
-    ) -> None:
-        """Send a complete response."""
-        length = (b'content-length', str(len(body)).encode())
-        raw = self._write_head(status, [*headers, length])
-        if body:
-            raw += self.parser.send(h11.Data(data=body)) or b''
-        raw += self.parser.send(h11.EndOfMessage()) or b''
-        self.is_complete = await self._write(raw)
-
-    def _write_head(self, status: int, headers: Headers) -> bytes:
-        self.is_started = True
-        self.status = status
-        sent_headers = list(headers)
-        if self.is_last:
-            sent_headers.append((b'connection', b'close'))
-        response = h11.Response(status_code=status, headers=sent_headers)
-        return self.parser.send(response) or b''
-
-    async def _write(self, raw: bytes) -> bool:
-        if not raw:
-            return True
-        try:
-            await self.stream.send_all(raw)
-        except CONNECTION_ERRORS as error:
-            self.disconnect_reason = _describe_disconnect(error)
-            return False
-        return True
-
-
-def _describe_disconnect(error: Exception) -> str:
-    """Return the symbolic errno of a connection error, or else its type."""
-    cause = error.__cause__ or error
-    number = getattr(cause, 'errno', None)
-    return errno.errorcode.get(number, type(cause).__name__)
-
-
 RequestHandler = Callable[[ClientRequest, ClientExchange], Awaitable[None]]
 
 
@@ -143,16 +67,21 @@
 
     Attributes:
         handle_request: Handles one request and sends its response.
+        reject_body: Rejects a request whose body finds no room. The request
+            has no body.
         limits: Returns the current limits for clients.
         is_closing: Returns whether the connection must close after the
             response.
         closing: Set when idle connections must be closed.
+        body_budget: Room for the bodies of all connections.
     """
 
     handle_request: RequestHandler
+    reject_body: RequestHandler
     limits: Callable[[], ClientLimits]
     is_closing: Callable[[], bool]
     closing: trio.Event
+    body_budget: ByteBudget
 
 
 @dataclass(slots=True)
@@ -163,11 +92,13 @@
         stream: Client socket.
         parser: HTTP protocol state.
         pipelined: Bytes received while a request was being handled.
+        reserved_bytes: Bytes that the body of the current request reserved.
     """
 
     stream: trio.SocketStream
     parser: h11.Connection
     pipelined: list[bytes] = field(default_factory=list)
+    reserved_bytes: int = 0
 
 
 async def serve_client_connection(
@@ -181,17 +112,25 @@
     )
     connection = _Connection(stream, parser)
     with stream.socket:
-        is_open = True
-        while is_open:
-            request = await _read_request(handlers, connection)
-            if request is None:
-                break
-            is_open = await _serve_request(handlers, connection, request)
-            if is_open:
-                connection.parser.start_next_cycle()
+        while await _serve_next_request(handlers, connection):
+            connection.parser.start_next_cycle()
         await _close_gracefully(connection)
 
 
+async def _serve_next_request(
+    handlers: ConnectionHandlers, connection: _Connection
+) -> bool:
+    """Read and serve a request; return whether the connection stays open."""
+    try:
+        request = await _read_request(handlers, connection)
+        if request is None:
+            return False
+        return await _serve_request(handlers, connection, request)
+    finally:
+        release_bytes(handlers.body_budget, connection.reserved_bytes)
+        connection.reserved_bytes = 0
+
+
 async def _serve_request(
     handlers: ConnectionHandlers,
     connection: _Connection,
@@ -231,7 +170,7 @@
             received = await connection.stream.receive_some(_READ_BYTES)
         except CONNECTION_ERRORS as error:
             received = b''
-            exchange.disconnect_reason = _describe_disconnect(error)
+            exchange.disconnect_reason = describe_disconnect(error)
         if not received:
             exchange.disconnect_reason = exchange.disconnect_reason or 'closed'
             scope.cancel()
@@ -254,7 +193,7 @@
     try:
         head = await _read_event(connection, limits.header_s)
         if isinstance(head, h11.Request):
-            return await _read_body(connection, head, limits)
+            return await _read_body(handlers, connection, head)
     except h11.RemoteProtocolError as error:
         await _reject(connection, error.error_status_hint)
         return None
@@ -264,38 +203,74 @@
 
 
 async def _read_body(
-    connection: _Connection, head: h11.Request, limits: ClientLimits
+    handlers: ConnectionHandlers, connection: _Connection, head: h11.Request
 ) -> ClientRequest | None:
     """Read the body of a request; None if the connection must be closed.
 
     The idle timeout applies to each part of the body, not to the complete
     body: a slow client is served, a stalled one is not.
     """
-    arrived_s = trio.current_time()
+    limits = handlers.limits()
+    request = ClientRequest(
+        bytes(head.method),
+        bytes(head.target),
+        list(head.headers),
+        b'',
+        trio.current_time(),
+    )
+    declared_bytes = _read_declared_length(request, limits)
+    if not _reserve(handlers, connection, declared_bytes):
+        await _reject_body(handlers, connection, request)
+        return None
     if not await _send_continue(connection):
         return None
-    parts = []
-    n_bytes = 0
-    while True:
-        event = await _read_event(connection, limits.idle_s)
-        if not isinstance(event, h11.Data):
-            break
-        parts.append(bytes(event.data))
-        n_bytes += len(event.data)
-        if n_bytes > limits.body_bytes:
+    body = bytearray()
+    event = await _read_event(connection, limits.idle_s)
+    while isinstance(event, h11.Data):
+        body += event.data
+        if len(body) > limits.body_bytes:
             await _reject(connection, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return None
+        missing_bytes = len(body) - connection.reserved_bytes
+        if not _reserve(handlers, connection, missing_bytes):
+            await _reject_body(handlers, connection, request)
+            return None
+        event = await _read_event(connection, limits.idle_s)
     if event is _TIMED_OUT:
         await _reject(connection, HTTPStatus.REQUEST_TIMEOUT)
     if not isinstance(event, h11.EndOfMessage):
         return None
-    return ClientRequest(
-        bytes(head.method),
-        bytes(head.target),
-        list(head.headers),
-        b''.join(parts),
-        arrived_s,
+    return replace(request, body=body)
+
+
+def _read_declared_length(request: ClientRequest, limits: ClientLimits) -> int:
+    """Return the length of the body, as far as it is allowed and known."""
+    text = find_header(request.headers, b'content-length')
+    return min(int(text or 0), limits.body_bytes)
+
+
+def _reserve(
+    handlers: ConnectionHandlers, connection: _Connection, n_bytes: int
+) -> bool:
+    """Reserve room for more of a body; return whether there is any."""
+    if n_bytes <= 0:
+        return True
+    has_room = reserve_bytes(
+        handlers.body_budget, connection.reserved_bytes, n_bytes
     )
+    if has_room:
+        connection.reserved_bytes += n_bytes
+    return has_room
+
+
+async def _reject_body(
+    handlers: ConnectionHandlers,
+    connection: _Connection,
+    request: ClientRequest,
+) -> None:
+    """Reject a request before its body is read to the end."""
+    exchange = ClientExchange(connection.stream, connection.parser, True)
+    await handlers.reject_body(request, exchange)
 
 
 async def _send_continue(connection: _Connection) -> bool:
--- a/packages/node/src/turmericcrank_node/serving/in_flight_request.py
+++ b/packages/node/src/turmericcrank_node/serving/in_flight_request.py
@@ -27,7 +27,7 @@
     refresh_sharing_nodes,
 )
 from turmericcrank_node.platform_port import DecodedRequest
-from turmericcrank_node.serving.client_connection import ClientExchange
+from turmericcrank_node.serving.client_exchange import ClientExchange
 from turmericcrank_node.state.in_flight_attempt import InFlightAttempt
 from turmericcrank_node.state.node_state import NodeState, read_boottime_s
 from turmericcrank_node.upstreams.attempt import AttemptFault, FaultKind
--- a/packages/node/src/turmericcrank_node/serving/router.py
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -16,10 +16,8 @@
 from turmericcrank_core.version_choice import make_session_key
 
 from turmericcrank_node.platform_port import DecodedRequest
-from turmericcrank_node.serving.client_connection import (
-    ClientExchange,
-    ClientRequest,
-)
+from turmericcrank_node.serving.client_connection import ClientRequest
+from turmericcrank_node.serving.client_exchange import ClientExchange
 from turmericcrank_node.serving.in_flight_request import (
     InFlightRequest,
     find_retry_window,
@@ -40,10 +38,12 @@
 )
 from turmericcrank_node.upstreams.upstream_selection import UpstreamRequirements
 
-__all__ = ('handle_request',)
+__all__ = ('handle_request', 'reject_body')
 
 _RETRY_AFTER_S = 0.1
 _MIN_BLOCK_WAIT_S = 5
+# Time in which some of the bodies that fill the memory are done with.
+_MEMORY_RETRY_AFTER_S = 0.5
 
 
 async def handle_request(
@@ -68,6 +68,22 @@
         state.n_requests -= 1
 
 
+async def reject_body(
+    state: NodeState, request: ClientRequest, exchange: ClientExchange
+) -> None:
+    """Reject a request whose body finds no room, before it is read."""
+    call = state.platform.decode_request(request)
+    budget = state.body_budget
+    await reject_request(
+        state,
+        exchange,
+        ResultCode.memory_full,
+        call.request_id,
+        retry_after_s=_MEMORY_RETRY_AFTER_S,
+        reason=f'bodies take {budget.reserved_bytes} of {budget.max_bytes} B',
+    )
+
+
 async def _route_request(
     state: NodeState, call: DecodedRequest, exchange: ClientExchange
 ) -> None:
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -23,7 +23,7 @@
     read_body,
     read_body_part,
 )
-from turmericcrank_node.serving.client_connection import ClientExchange
+from turmericcrank_node.serving.client_exchange import ClientExchange
 from turmericcrank_node.serving.in_flight_request import (
     InFlightRequest,
     can_retry_now,
--- a/packages/node/src/turmericcrank_node/serving/unary_call.py
+++ b/packages/node/src/turmericcrank_node/serving/unary_call.py
@@ -10,7 +10,7 @@
 
 from turmericcrank_node.http_connection import Headers, ReadFault, read_body
 from turmericcrank_node.platform_port import ForwardMetadata
-from turmericcrank_node.serving.client_connection import ClientExchange
+from turmericcrank_node.serving.client_exchange import ClientExchange
 from turmericcrank_node.serving.in_flight_request import (
     AttemptResult,
     InFlightRequest,
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from turmericcrank_core.byte_budget import ByteBudget
 from turmericcrank_core.cluster_clock import ClusterClock, read_cluster_clock_s
 from turmericcrank_core.crash_blocks import CrashGuard
 from turmericcrank_core.gossip_topology import GossipPlan
@@ -127,6 +128,8 @@
     incarnation: str
     random_source: random.Random
     metrics: RouterMetrics
+    # Written by client_connection.
+    body_budget: ByteBudget
     # Written by table_watch; the staleness of the tables also by gossip_merge.
     table: RouteTable | None = None
     configuration_staleness: TableStaleness = field(
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -292,6 +292,20 @@
     assert check_settings(_SETTINGS).ok.link_bytes_per_s > 0
 
 
+def test_the_memory_limit_is_converted_to_bytes():
+    settings = check_settings({**_SETTINGS, 'limits': {'memory-mb': 150}}).ok
+    assert settings.memory_bytes == 150e6
+    assert check_settings(_SETTINGS).ok.memory_bytes > 0
+
+
+@pytest.mark.parametrize('number', [0, -1, 'ten', None])
+def test_an_invalid_memory_limit_is_reported(number):
+    field_errors = check_settings(
+        {**_SETTINGS, 'limits': {'memory-mb': number}}
+    )
+    assert 'settings.limits.memory-mb' in str(field_errors.error[0])
+
+
 @pytest.mark.parametrize('number', [0, -1, 'ten', None])
 def test_an_invalid_link_capacity_is_reported(number):
     field_errors = check_settings(
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -25,7 +25,7 @@
     ConnectionHandlers,
     serve_client_connection,
 )
-from turmericcrank_node.serving.router import handle_request
+from turmericcrank_node.serving.router import handle_request, reject_body
 from turmericcrank_node.state.node_state import read_boottime_s
 
 from tests.router_builders import HOST, KEY, make_upstream
@@ -223,9 +223,11 @@
     """Connect a client to the router of a node."""
     handlers = ConnectionHandlers(
         lambda request, exchange: handle_request(state, request, exchange),
+        lambda request, exchange: reject_body(state, request, exchange),
         lambda: state.limits,
         lambda: state.is_stopping,
         state.closing,
+        state.body_budget,
     )
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
 
