Give reading requests, and applying rows, a module of their own

Change: request_reading reads and bounds requests, client_connection serves them; table_rows applies rows, table_watch decides when to read. Only names that others import changed: ClientConnection, read_request, READ_BYTES.

--- a/packages/node/src/turmericcrank_node/membership/gossip_merge.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_merge.py
@@ -50,11 +50,11 @@
     NodeState,
     ReceivedDigest,
 )
-from turmericcrank_node.state.table_watch import (
+from turmericcrank_node.state.table_rows import (
     apply_configuration,
     apply_upstreams,
-    keep_recent_page,
 )
+from turmericcrank_node.state.table_watch import keep_recent_page
 from turmericcrank_node.state.version_counts import EvidenceCounts
 from turmericcrank_node.upstreams.poison_detection import (
     merge_crash_report,
--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -17,7 +17,6 @@
 from turmericcrank_node.membership.gossip_server import serve_gossip
 from turmericcrank_node.platform_port import Platform, RouterSettings
 from turmericcrank_node.serving.client_connection import (
-    ConnectionHandlers,
     serve_client_connection,
 )
 from turmericcrank_node.serving.node_endpoints import (
@@ -25,6 +24,7 @@
     handle_health_check,
     handle_metrics_scrape,
 )
+from turmericcrank_node.serving.request_reading import ConnectionHandlers
 from turmericcrank_node.serving.router import handle_request, reject_body
 from turmericcrank_node.state.node_state import NodeState
 from turmericcrank_node.state.router_metrics import make_metrics
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -1,104 +1,30 @@
 """Serves the HTTP/1.1 requests of one client connection."""
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field, replace
-from http import HTTPStatus
-from typing import Any
-
 import h11
 import trio
-from turmericcrank_core.byte_budget import (
-    ByteBudget,
-    release_bytes,
-    reserve_bytes,
-)
-from turmericcrank_core.routing import ClientLimits
+from turmericcrank_core.byte_budget import release_bytes
 
 from turmericcrank_node.http_connection import (
     CLIENT_KEEPALIVE,
     CONNECTION_ERRORS,
-    Headers,
-    find_header,
     set_socket_options,
 )
 from turmericcrank_node.serving.client_exchange import (
     ClientExchange,
     describe_disconnect,
 )
-
-__all__ = (
-    'ClientRequest',
-    'ConnectionHandlers',
-    'serve_client_connection',
+from turmericcrank_node.serving.request_reading import (
+    READ_BYTES,
+    ClientConnection,
+    ClientRequest,
+    ConnectionHandlers,
+    read_request,
 )
 
-_READ_BYTES = 65536
+__all__ = ('serve_client_connection',)
+
 _CLOSE_WAIT_S = 1
 _MAX_PIPELINED_BYTES = 65536
-_TIMED_OUT = object()
-
-
-@dataclass(slots=True, frozen=True)
-class ClientRequest:
-    """One complete client request.
-
-    Attributes:
-        method: Request method.
-        target: Request target (path and query), unchanged.
-        headers: Header fields with lower-case names.
-        body: Complete body; not changed once it has been read.
-        arrived_s: Monotonic time at which the request head was read, in
-            seconds.
-    """
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes | bytearray
-    arrived_s: float
-
-
-RequestHandler = Callable[[ClientRequest, ClientExchange], Awaitable[None]]
-
-
-@dataclass(slots=True, frozen=True)
-class ConnectionHandlers:
-    """Callbacks into the node that serves the connection.
-
-    Attributes:
-        handle_request: Handles one request and sends its response.
-        reject_body: Rejects a request whose body finds no room. The request
-            has no body.
-        limits: Returns the current limits for clients.
-        is_closing: Returns whether the connection must close after the
-            response.
-        closing: Set when idle connections must be closed.
-        body_budget: Room for the bodies of all connections.
-    """
-
-    handle_request: RequestHandler
-    reject_body: RequestHandler
-    limits: Callable[[], ClientLimits]
-    is_closing: Callable[[], bool]
-    closing: trio.Event
-    body_budget: ByteBudget
-
-
-@dataclass(slots=True)
-class _Connection:
-    """State of a connection, kept across its requests.
-
-    Attributes:
-        stream: Client socket.
-        parser: HTTP protocol state.
-        pipelined: Bytes received while a request was being handled.
-        reserved_bytes: Bytes that the body of the current request reserved.
-    """
-
-    stream: trio.SocketStream
-    parser: h11.Connection
-    pipelined: list[bytes] = field(default_factory=list)
-    reserved_bytes: int = 0
 
 
 async def serve_client_connection(
@@ -110,7 +36,7 @@
     parser = h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.header_bytes
     )
-    connection = _Connection(stream, parser)
+    connection = ClientConnection(stream, parser)
     with stream.socket:
         while await _serve_next_request(handlers, connection):
             connection.parser.start_next_cycle()
@@ -118,11 +44,11 @@
 
 
 async def _serve_next_request(
-    handlers: ConnectionHandlers, connection: _Connection
+    handlers: ConnectionHandlers, connection: ClientConnection
 ) -> bool:
     """Read and serve a request; return whether the connection stays open."""
     try:
-        request = await _read_request(handlers, connection)
+        request = await read_request(handlers, connection)
         if request is None:
             return False
         return await _serve_request(handlers, connection, request)
@@ -133,7 +59,7 @@
 
 async def _serve_request(
     handlers: ConnectionHandlers,
-    connection: _Connection,
+    connection: ClientConnection,
     request: ClientRequest,
 ) -> bool:
     """Handle one request; return whether the connection can be reused."""
@@ -157,7 +83,9 @@
 
 
 async def _watch_client(
-    connection: _Connection, exchange: ClientExchange, scope: trio.CancelScope
+    connection: ClientConnection,
+    exchange: ClientExchange,
+    scope: trio.CancelScope,
 ) -> None:
     """Cancel the request if the client closes the connection.
 
@@ -167,7 +95,7 @@
     n_bytes = 0
     while n_bytes < _MAX_PIPELINED_BYTES:
         try:
-            received = await connection.stream.receive_some(_READ_BYTES)
+            received = await connection.stream.receive_some(READ_BYTES)
         except CONNECTION_ERRORS as error:
             received = b''
             exchange.disconnect_reason = describe_disconnect(error)
@@ -179,180 +107,7 @@
         n_bytes += len(received)
 
 
-async def _read_request(
-    handlers: ConnectionHandlers, connection: _Connection
-) -> ClientRequest | None:
-    """Read the next request; None if the connection must be closed."""
-    limits = handlers.limits()
-    if not _has_buffered_bytes(connection):
-        has_received = await _wait_for_bytes(
-            handlers, connection, limits.idle_s
-        )
-        if not has_received:
-            return None
-    try:
-        head = await _read_event(connection, limits.header_s)
-        if isinstance(head, h11.Request):
-            return await _read_body(handlers, connection, head)
-    except h11.RemoteProtocolError as error:
-        await _reject(connection, error.error_status_hint)
-        return None
-    if head is _TIMED_OUT:
-        await _reject(connection, HTTPStatus.REQUEST_TIMEOUT)
-    return None
-
-
-async def _read_body(
-    handlers: ConnectionHandlers, connection: _Connection, head: h11.Request
-) -> ClientRequest | None:
-    """Read the body of a request; None if the connection must be closed.
-
-    The idle timeout applies to each part of the body, not to the complete
-    body: a slow client is served, a stalled one is not.
-    """
-    limits = handlers.limits()
-    request = ClientRequest(
-        bytes(head.method),
-        bytes(head.target),
-        list(head.headers),
-        b'',
-        trio.current_time(),
-    )
-    declared_bytes = _read_declared_length(request, limits)
-    if not _reserve(handlers, connection, declared_bytes):
-        await _reject_body(handlers, connection, request)
-        return None
-    if not await _send_continue(connection):
-        return None
-    body = bytearray()
-    event = await _read_event(connection, limits.idle_s)
-    while isinstance(event, h11.Data):
-        body += event.data
-        if len(body) > limits.body_bytes:
-            await _reject(connection, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-            return None
-        missing_bytes = len(body) - connection.reserved_bytes
-        if not _reserve(handlers, connection, missing_bytes):
-            await _reject_body(handlers, connection, request)
-            return None
-        event = await _read_event(connection, limits.idle_s)
-    if event is _TIMED_OUT:
-        await _reject(connection, HTTPStatus.REQUEST_TIMEOUT)
-    if not isinstance(event, h11.EndOfMessage):
-        return None
-    return replace(request, body=body)
-
-
-def _read_declared_length(request: ClientRequest, limits: ClientLimits) -> int:
-    """Return the length of the body, as far as it is allowed and known."""
-    text = find_header(request.headers, b'content-length')
-    return min(int(text or 0), limits.body_bytes)
-
-
-def _reserve(
-    handlers: ConnectionHandlers, connection: _Connection, n_bytes: int
-) -> bool:
-    """Reserve room for more of a body; return whether there is any."""
-    if n_bytes <= 0:
-        return True
-    has_room = reserve_bytes(
-        handlers.body_budget, connection.reserved_bytes, n_bytes
-    )
-    if has_room:
-        connection.reserved_bytes += n_bytes
-    return has_room
-
-
-async def _reject_body(
-    handlers: ConnectionHandlers,
-    connection: _Connection,
-    request: ClientRequest,
-) -> None:
-    """Reject a request before its body is read to the end."""
-    exchange = ClientExchange(connection.stream, connection.parser, True)
-    await handlers.reject_body(request, exchange)
-
-
-async def _send_continue(connection: _Connection) -> bool:
-    """Send ``100 Continue`` to a client that waits for it.
-
-    Returns:
-        False if the client has disconnected.
-    """
-    if not connection.parser.they_are_waiting_for_100_continue:
-        return True
-    continue_response = h11.InformationalResponse(
-        status_code=HTTPStatus.CONTINUE, headers=[]
-    )
-    try:
-        await connection.stream.send_all(
-            connection.parser.send(continue_response) or b''
-        )
-    except CONNECTION_ERRORS:
-        return False
-    return True
-
-
-async def _read_event(connection: _Connection, timeout_s: float) -> Any:
-    """Read the next protocol event.
-
-    Returns:
-        The event, ``_TIMED_OUT``, or None if the connection broke.
-    """
-    with trio.move_on_after(timeout_s):
-        return await _next_event(connection, connection.parser.next_event)
-    return _TIMED_OUT
-
-
-async def _next_event(connection: _Connection, read: Callable[[], Any]) -> Any:
-    while True:
-        event = read()
-        if event is not h11.NEED_DATA:
-            return event
-        try:
-            received = await connection.stream.receive_some(_READ_BYTES)
-        except CONNECTION_ERRORS:
-            return None
-        connection.parser.receive_data(received)
-
-
-def _has_buffered_bytes(connection: _Connection) -> bool:
-    rest, _is_ended = connection.parser.trailing_data
-    return bool(rest)
-
-
-async def _wait_for_bytes(
-    handlers: ConnectionHandlers, connection: _Connection, idle_s: float
-) -> bool:
-    """Wait for the first bytes of a request; False if none come."""
-    received = b''
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_cancel_on, handlers.closing, nursery.cancel_scope)
-        with trio.move_on_after(idle_s):
-            try:
-                received = await connection.stream.receive_some(_READ_BYTES)
-            except CONNECTION_ERRORS:
-                received = b''
-        nursery.cancel_scope.cancel()
-    if received:
-        connection.parser.receive_data(received)
-    return bool(received)
-
-
-async def _cancel_on(event: trio.Event, scope: trio.CancelScope) -> None:
-    await event.wait()
-    scope.cancel()
-
-
-async def _reject(connection: _Connection, status: int) -> None:
-    """Send an empty error response to an invalid or oversized request."""
-    if connection.parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
-        return
-    exchange = ClientExchange(connection.stream, connection.parser, True)
-    await exchange.send_response(status, [], b'')
-
-
-async def _close_gracefully(connection: _Connection) -> None:
+async def _close_gracefully(connection: ClientConnection) -> None:
     """Close the sending side, then discard incoming bytes for a short time.
 
     Closing a socket with unread bytes sends a TCP reset, which may discard a
@@ -363,7 +118,7 @@
     try:
         await connection.stream.send_eof()
         with trio.move_on_after(_CLOSE_WAIT_S):
-            while await connection.stream.receive_some(_READ_BYTES):
+            while await connection.stream.receive_some(READ_BYTES):
                 await trio.lowlevel.checkpoint()
     except CONNECTION_ERRORS:
         return
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -0,0 +1,269 @@
+"""Reads the requests of one client connection."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+from http import HTTPStatus
+from typing import Any
+
+import h11
+import trio
+from turmericcrank_core.byte_budget import ByteBudget, reserve_bytes
+from turmericcrank_core.routing import ClientLimits
+
+from turmericcrank_node.http_connection import (
+    CONNECTION_ERRORS,
+    Headers,
+    find_header,
+)
+from turmericcrank_node.serving.client_exchange import ClientExchange
+
+__all__ = (
+    'READ_BYTES',
+    'ClientConnection',
+    'ClientRequest',
+    'ConnectionHandlers',
+    'read_request',
+)
+
+READ_BYTES = 65536
+_TIMED_OUT = object()
+
+
+@dataclass(slots=True, frozen=True)
+class ClientRequest:
+    """One complete client request.
+
+    Attributes:
+        method: Request method.
+        target: Request target (path and query), unchanged.
+        headers: Header fields with lower-case names.
+        body: Complete body; not changed once it has been read.
+        arrived_s: Monotonic time at which the request head was read, in
+            seconds.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes | bytearray
+    arrived_s: float
+
+
+RequestHandler = Callable[[ClientRequest, ClientExchange], Awaitable[None]]
+
+
+@dataclass(slots=True, frozen=True)
+class ConnectionHandlers:
+    """Callbacks into the node that serves the connection.
+
+    Attributes:
+        handle_request: Handles one request and sends its response.
+        reject_body: Rejects a request whose body finds no room. The request
+            has no body.
+        limits: Returns the current limits for clients.
+        is_closing: Returns whether the connection must close after the
+            response.
+        closing: Set when idle connections must be closed.
+        body_budget: Room for the bodies of all connections.
+    """
+
+    handle_request: RequestHandler
+    reject_body: RequestHandler
+    limits: Callable[[], ClientLimits]
+    is_closing: Callable[[], bool]
+    closing: trio.Event
+    body_budget: ByteBudget
+
+
+@dataclass(slots=True)
+class ClientConnection:
+    """State of a connection, kept across its requests.
+
+    Attributes:
+        stream: Client socket.
+        parser: HTTP protocol state.
+        pipelined: Bytes received while a request was being handled.
+        reserved_bytes: Bytes that the body of the current request reserved.
+    """
+
+    stream: trio.SocketStream
+    parser: h11.Connection
+    pipelined: list[bytes] = field(default_factory=list)
+    reserved_bytes: int = 0
+
+
+async def read_request(
+    handlers: ConnectionHandlers, connection: ClientConnection
+) -> ClientRequest | None:
+    """Read the next request; None if the connection must be closed."""
+    limits = handlers.limits()
+    if not _has_buffered_bytes(connection):
+        has_received = await _wait_for_bytes(
+            handlers, connection, limits.idle_s
+        )
+        if not has_received:
+            return None
+    try:
+        head = await _read_event(connection, limits.header_s)
+        if isinstance(head, h11.Request):
+            return await _read_body(handlers, connection, head)
+    except h11.RemoteProtocolError as error:
+        await _reject(connection, error.error_status_hint)
+        return None
+    if head is _TIMED_OUT:
+        await _reject(connection, HTTPStatus.REQUEST_TIMEOUT)
+    return None
+
+
+async def _read_body(
+    handlers: ConnectionHandlers,
+    connection: ClientConnection,
+    head: h11.Request,
+) -> ClientRequest | None:
+    """Read the body of a request; None if the connection must be closed.
+
+    The idle timeout applies to each part of the body, not to the complete
+    body: a slow client is served, a stalled one is not.
+    """
+    limits = handlers.limits()
+    request = ClientRequest(
+        bytes(head.method),
+        bytes(head.target),
+        list(head.headers),
+        b'',
+        trio.current_time(),
+    )
+    declared_bytes = _read_declared_length(request, limits)
+    if not _reserve(handlers, connection, declared_bytes):
+        await _reject_body(handlers, connection, request)
+        return None
+    if not await _send_continue(connection):
+        return None
+    body = bytearray()
+    event = await _read_event(connection, limits.idle_s)
+    while isinstance(event, h11.Data):
+        body += event.data
+        if len(body) > limits.body_bytes:
+            await _reject(connection, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            return None
+        missing_bytes = len(body) - connection.reserved_bytes
+        if not _reserve(handlers, connection, missing_bytes):
+            await _reject_body(handlers, connection, request)
+            return None
+        event = await _read_event(connection, limits.idle_s)
+    if event is _TIMED_OUT:
+        await _reject(connection, HTTPStatus.REQUEST_TIMEOUT)
+    if not isinstance(event, h11.EndOfMessage):
+        return None
+    return replace(request, body=body)
+
+
+def _read_declared_length(request: ClientRequest, limits: ClientLimits) -> int:
+    """Return the length of the body, as far as it is allowed and known."""
+    text = find_header(request.headers, b'content-length')
+    return min(int(text or 0), limits.body_bytes)
+
+
+def _reserve(
+    handlers: ConnectionHandlers, connection: ClientConnection, n_bytes: int
+) -> bool:
+    """Reserve room for more of a body; return whether there is any."""
+    if n_bytes <= 0:
+        return True
+    has_room = reserve_bytes(
+        handlers.body_budget, connection.reserved_bytes, n_bytes
+    )
+    if has_room:
+        connection.reserved_bytes += n_bytes
+    return has_room
+
+
+async def _reject_body(
+    handlers: ConnectionHandlers,
+    connection: ClientConnection,
+    request: ClientRequest,
+) -> None:
+    """Reject a request before its body is read to the end."""
+    exchange = ClientExchange(connection.stream, connection.parser, True)
+    await handlers.reject_body(request, exchange)
+
+
+async def _send_continue(connection: ClientConnection) -> bool:
+    """Send ``100 Continue`` to a client that waits for it.
+
+    Returns:
+        False if the client has disconnected.
+    """
+    if not connection.parser.they_are_waiting_for_100_continue:
+        return True
+    continue_response = h11.InformationalResponse(
+        status_code=HTTPStatus.CONTINUE, headers=[]
+    )
+    try:
+        await connection.stream.send_all(
+            connection.parser.send(continue_response) or b''
+        )
+    except CONNECTION_ERRORS:
+        return False
+    return True
+
+
+async def _read_event(connection: ClientConnection, timeout_s: float) -> Any:
+    """Read the next protocol event.
+
+    Returns:
+        The event, ``_TIMED_OUT``, or None if the connection broke.
+    """
+    with trio.move_on_after(timeout_s):
+        return await _next_event(connection, connection.parser.next_event)
+    return _TIMED_OUT
+
+
+async def _next_event(
+    connection: ClientConnection, read: Callable[[], Any]
+) -> Any:
+    while True:
+        event = read()
+        if event is not h11.NEED_DATA:
+            return event
+        try:
+            received = await connection.stream.receive_some(READ_BYTES)
+        except CONNECTION_ERRORS:
+            return None
+        connection.parser.receive_data(received)
+
+
+def _has_buffered_bytes(connection: ClientConnection) -> bool:
+    rest, _is_ended = connection.parser.trailing_data
+    return bool(rest)
+
+
+async def _wait_for_bytes(
+    handlers: ConnectionHandlers, connection: ClientConnection, idle_s: float
+) -> bool:
+    """Wait for the first bytes of a request; False if none come."""
+    received = b''
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_on, handlers.closing, nursery.cancel_scope)
+        with trio.move_on_after(idle_s):
+            try:
+                received = await connection.stream.receive_some(READ_BYTES)
+            except CONNECTION_ERRORS:
+                received = b''
+        nursery.cancel_scope.cancel()
+    if received:
+        connection.parser.receive_data(received)
+    return bool(received)
+
+
+async def _cancel_on(event: trio.Event, scope: trio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
+
+
+async def _reject(connection: ClientConnection, status: int) -> None:
+    """Send an empty error response to an invalid or oversized request."""
+    if connection.parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+        return
+    exchange = ClientExchange(connection.stream, connection.parser, True)
+    await exchange.send_response(status, [], b'')
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -128,7 +128,7 @@
     incarnation: str
     random_source: random.Random
     metrics: RouterMetrics
-    # Written by client_connection.
+    # Written by request_reading and client_connection.
     body_budget: ByteBudget
     # Written by table_watch; the staleness of the tables also by gossip_merge.
     table: RouteTable | None = None
--- /dev/null
+++ b/packages/node/src/turmericcrank_node/state/table_rows.py
@@ -0,0 +1,129 @@
+"""Applies rows of the followed tables to the state of this node."""
+
+from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.rollout_phases import (
+    RolloutOrder,
+    RolloutPhase,
+    RolloutState,
+)
+from turmericcrank_core.upstream_limits import expire_limits
+from turmericcrank_core.upstream_notices import expire_notices
+from turmericcrank_core.upstream_registry import (
+    expire_missing,
+    iter_usable,
+    record_listed,
+    record_missing,
+)
+from turmericcrank_core.version_choice import record_versions
+
+from turmericcrank_node.platform_port import (
+    ChangedRow,
+    FeedPage,
+    MalformedRowError,
+)
+from turmericcrank_node.state.node_state import (
+    NodeState,
+    read_boottime_s,
+    read_cluster_time_s,
+)
+
+__all__ = ('apply_configuration', 'apply_upstreams')
+
+
+def apply_configuration(
+    state: NodeState, page: FeedPage, is_complete: bool
+) -> None:
+    """Apply the newest configuration and the rollout orders."""
+    for row in page.rows:
+        try:
+            _apply_configuration_row(state, row)
+        except MalformedRowError as error:
+            state.log.write(
+                EventCode.row_rejected, change=row.version, detail=str(error)
+            )
+
+
+def _apply_configuration_row(state: NodeState, row: ChangedRow) -> None:
+    _apply_table(state, row)
+    order = state.platform.decode_rollout_order(row)
+    if order is not None:
+        _apply_order(state, order)
+
+
+def _apply_table(state: NodeState, row: ChangedRow) -> None:
+    """Apply a configuration unless it is older than the current one."""
+    table = state.platform.decode_configuration(row)
+    if table is None:
+        return
+    if state.table is None or table.revision > state.table.revision:
+        state.table = table
+        state.log.write(
+            EventCode.revision_adopted,
+            revision=table.revision,
+            change=row.version,
+        )
+
+
+def _apply_order(state: NodeState, order: RolloutOrder) -> None:
+    ordered = RolloutState(order, RolloutPhase.ordered, read_boottime_s())
+    own = state.rollouts_by_service.get(order.service)
+    if own is None or order.number > own.order.number:
+        state.rollouts_by_service[order.service] = ordered
+
+
+def apply_upstreams(
+    state: NodeState, page: FeedPage, is_complete: bool
+) -> None:
+    """Apply the listed upstreams and mark the missing ones."""
+    now_s = read_boottime_s()
+    present = set()
+    for row in page.rows:
+        upstream = state.platform.decode_upstream(row)
+        if upstream is None:
+            _mark_upstream_missing(state, row, now_s)
+            continue
+        present.add(upstream.upstream_id)
+        before = state.upstream_registry.by_id.get(upstream.upstream_id)
+        record_listed(state.upstream_registry, upstream)
+        if before is None or before.is_draining != upstream.is_draining:
+            state.log.write(
+                EventCode.upstream_listed,
+                upstream=upstream.upstream_id,
+                service=upstream.service,
+                address=upstream.address,
+                version=upstream.version,
+                draining=upstream.is_draining,
+                change=row.version,
+            )
+    if is_complete:
+        for upstream_id in list(state.upstream_registry.by_id):
+            if upstream_id not in present:
+                record_missing(state.upstream_registry, upstream_id, now_s)
+    expire_missing(state.upstream_registry, now_s)
+    expire_notices(state.notices, state.upstream_registry.by_id, now_s)
+    expire_limits(
+        state.upstream_limits,
+        state.upstream_registry.by_id,
+        read_cluster_time_s(state),
+    )
+    _refresh_versions(state, now_s)
+
+
+def _mark_upstream_missing(
+    state: NodeState, row: ChangedRow, now_s: float
+) -> None:
+    if row.key in state.upstream_registry.by_id:
+        record_missing(state.upstream_registry, row.key, now_s)
+        state.log.write(
+            EventCode.upstream_missing, upstream=row.key, change=row.version
+        )
+
+
+def _refresh_versions(state: NodeState, now_s: float) -> None:
+    services = {one.service for one in state.upstream_registry.by_id.values()}
+    services.update(state.versions.known_by_service)
+    for service in services:
+        usable = iter_usable(state.upstream_registry, service, now_s)
+        record_versions(
+            state.versions, service, (one.version for one in usable)
+        )
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -13,7 +13,6 @@
 
 from turmericcrank_core.routing import Team
 from turmericcrank_node.platform_port import DecodedRequest
-from turmericcrank_node.serving.client_connection import ClientRequest
 from turmericcrank_node.serving.in_flight_request import (
     AttemptResult,
     InFlightRequest,
@@ -21,6 +20,7 @@
     record_attempt_result,
     start_attempt,
 )
+from turmericcrank_node.serving.request_reading import ClientRequest
 from turmericcrank_node.upstreams.crash_block_checks import (
     take_test,
 )
--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -13,12 +13,12 @@
 from turmericcrank_core.crash_evidence import Suspect
 from turmericcrank_core.routing import Team
 from turmericcrank_node.platform_port import DecodedRequest, ResponseInfo
-from turmericcrank_node.serving.client_connection import ClientRequest
 from turmericcrank_node.serving.in_flight_request import (
     InFlightRequest,
     end_attempt,
     start_attempt,
 )
+from turmericcrank_node.serving.request_reading import ClientRequest
 from turmericcrank_node.upstreams.request_limits import process_request_limit
 from turmericcrank_node.upstreams.upstream_selection import UpstreamRequirements
 
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -22,9 +22,9 @@
 )
 from turmericcrank_node.router_node import make_state
 from turmericcrank_node.serving.client_connection import (
-    ConnectionHandlers,
     serve_client_connection,
 )
+from turmericcrank_node.serving.request_reading import ConnectionHandlers
 from turmericcrank_node.serving.router import handle_request, reject_body
 from turmericcrank_node.state.node_state import read_boottime_s
 
