Show that a retry takes a permit of the limited upstream

Ruled out: to tighten that bound, since it depends on the time that calls take. Change: a test on the virtual clock in which each request comes to the limited upstream as a retry; the other test stays.

--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -109,6 +109,14 @@
             number = int(node.node_id.rpartition('-')[2])
             self._start(make_node(number, node.data_centre, self.now_s))
 
+    def retry(self, tried_ids):
+        """Send a request that has failed at some upstreams before."""
+        node = self.rng.choice(self.gossip.nodes)
+        request_id = f'{self.rng.getrandbits(64):016x}'
+        in_flight = make_in_flight(request_id, self.now_s)
+        in_flight.tried_ids = frozenset(tried_ids)
+        self._send(node, in_flight)
+
     def _start(self, node):
         list_upstreams(node.state, *self.upstreams)
         self.gossip.add(node)
--- a/tests/membership/test_request_limits.py
+++ b/tests/membership/test_request_limits.py
@@ -25,6 +25,8 @@
 _SITES = (_SMALL, _GROWN, _LARGE)
 _LIMITED = ('u0', 'u1')
 _NEVER_S = float('inf')
+_WINDOWS_S = 8
+_RETRY_PAUSE_S = 0.05
 
 
 @pytest.fixture(autouse=True, scope='module')
@@ -183,3 +185,22 @@
     _play(simulation, 14)
     most = _most(simulation)
     assert most <= allowed_in_window(1.0)
+
+
+def test_an_attempt_after_a_failed_one_takes_a_permit_too():
+    """Each request comes to the limited upstream as a retry."""
+    limit_per_s = 2
+    simulation = start_limit_simulation(
+        {'north': 1}, 2, 0, _limit_some(limit_per_s, ids=('u0',))
+    )
+
+    async def main():
+        while simulation.now_s < _KEPT_FROM_S + _WINDOWS_S:
+            simulation.run(_RETRY_PAUSE_S)
+            simulation.retry(tried_ids=('u1',))
+
+    trio.run(main)
+    n_most = count_most_in_window(
+        simulation, 'u0', _KEPT_FROM_S, simulation.now_s
+    )
+    assert 0 < n_most <= allowed_in_window(limit_per_s)
