Build requests in flight for all simulations in one place

Change: tests/request_builders.py; the fingerprint is the id of the request if none is given, as both did.

--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -7,12 +7,9 @@
 
 import heapq
 import itertools
-import math
 import random
 from dataclasses import dataclass, field
 
-from turmericcrank_core.routing import Team
-from turmericcrank_node.platform_port import DecodedRequest
 from turmericcrank_node.serving.in_flight_request import (
     AttemptResult,
     InFlightRequest,
@@ -20,20 +17,18 @@
     record_attempt_result,
     start_attempt,
 )
-from turmericcrank_node.serving.request_reading import ClientRequest
 from turmericcrank_node.upstreams.crash_block_checks import (
     take_test,
 )
 from turmericcrank_node.upstreams.poison_detection import (
-    make_suspect,
     record_begin,
     record_crash,
     record_output,
 )
-from turmericcrank_node.upstreams.upstream_selection import UpstreamRequirements
 
 from tests.gossip_simulation import GossipSimulation, make_node
-from tests.router_builders import make_route, make_upstream
+from tests.request_builders import make_in_flight
+from tests.router_builders import make_upstream
 from tests.router_fakes import list_upstreams
 from tests.virtual_clock import CLOCK
 
@@ -184,9 +179,7 @@
         node = self.rng.choice(self.gossip.nodes)
         request_id = f'{self.rng.getrandbits(64):016x}'
         request = SimulatedRequest(
-            make_in_flight(
-                request_id, fingerprint or request_id, parts, self.now_s
-            ),
+            make_in_flight(request_id, self.now_s, parts, fingerprint),
             node,
             parts,
             self.now_s,
@@ -365,23 +358,6 @@
     )
 
 
-def make_in_flight(request_id, fingerprint, parts, now_s):
-    """Make a request in flight that is not bound to a connection."""
-    request = ClientRequest(b'POST', b'/quotes/1', [], b'{}', now_s)
-    call = DecodedRequest(
-        request, request_id, 'h', '/quotes/1', '', None, '', parts, '', True
-    )
-    requirements = UpstreamRequirements('engine', request_id, '', call.prefix)
-    return InFlightRequest(
-        call,
-        make_route(),
-        Team('planners'),
-        requirements,
-        math.inf,
-        suspect=make_suspect('engine', fingerprint, parts),
-    )
-
-
 def count_late_arrivals(simulation, part, contact_s, n_crashes=5):
     """Count the runs of a crashing part after its fifth crash.
 
--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -4,26 +4,21 @@
 clock. Upstreams are modelled: each names its limit by a schedule.
 """
 
-import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from turmericcrank_core.crash_evidence import Suspect
-from turmericcrank_core.routing import Team
-from turmericcrank_node.platform_port import DecodedRequest, ResponseInfo
+from turmericcrank_node.platform_port import ResponseInfo
 from turmericcrank_node.serving.in_flight_request import (
-    InFlightRequest,
     end_attempt,
     start_attempt,
 )
-from turmericcrank_node.serving.request_reading import ClientRequest
 from turmericcrank_node.upstreams.request_limits import process_request_limit
-from turmericcrank_node.upstreams.upstream_selection import UpstreamRequirements
 
 from tests.gossip_simulation import GossipSimulation, make_node
-from tests.router_builders import make_route, make_upstream
+from tests.request_builders import make_in_flight
+from tests.router_builders import make_upstream
 from tests.router_fakes import list_upstreams
 from tests.virtual_clock import CLOCK
 
@@ -226,20 +221,3 @@
 def allowed_in_window(limit_per_s):
     """Return the most requests in 4 s that the users' rule allows."""
     return 1.5 * WINDOW_S * limit_per_s + 5
-
-
-def make_in_flight(request_id, now_s):
-    """Make a request in flight that is not bound to a connection."""
-    request = ClientRequest(b'POST', b'/quotes/1', [], b'{}', now_s)
-    call = DecodedRequest(
-        request, request_id, 'h', '/quotes/1', '', None, '', (), '', True
-    )
-    requirements = UpstreamRequirements('engine', request_id, '', '')
-    return InFlightRequest(
-        call,
-        make_route(),
-        Team('planners'),
-        requirements,
-        math.inf,
-        suspect=Suspect(request_id),
-    )
--- a/tests/membership/test_retry_shares.py
+++ b/tests/membership/test_retry_shares.py
@@ -10,7 +10,7 @@
 )
 
 from tests.gossip_simulation import make_node, start_simulation
-from tests.limit_simulation import make_in_flight
+from tests.request_builders import make_in_flight
 from tests.virtual_clock import CLOCK, use_virtual_clock
 
 _SLACK = 20
