Show that a node vouches for no gap between its own reads and a peer's

Cause: the property test of table_staleness passed with a trial in which a restarted node took over what a peer knows although that ended before its own read. Ruled out: to wait until a random example finds it. Change: the case as an example of the property. Figures: with the trial the test fails, with the product as it is it passes.

--- a/tests/core/test_table_staleness.py
+++ b/tests/core/test_table_staleness.py
@@ -118,6 +118,19 @@
         ('report', 1, 0),
     ]
 )
+@example(
+    # Node 0 knows nothing of the deletion before the read of node 1.
+    [
+        ('change', 0, False),
+        ('change', 1, False),
+        ('read', 0),
+        ('read', 2),
+        ('change', 1, True),
+        ('read', 1),
+        ('report', 0, 1),
+        ('report', 1, 2),
+    ]
+)
 def test_a_copy_holds_every_change_up_to_its_current_as_of_time(steps):
     """Nodes read, restart and report to each other, while rows change.
 
