--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -18,12 +18,15 @@
 from turmericcrank_platform.show import show_site
 from turmericcrank_platform.store import make_store
 
+# Time after which a late response arrives, in seconds.
+_LATE_S = 0.3
+
 
 class _ScriptedStore:
     """Responds to each call with the next status and body.
 
-    A third item is the era of the store. For None it closes the connection
-    without a response.
+    A third item is the era of the store, a fourth one the time after which it
+    responds, in seconds. For None it closes the connection without a response.
     """
 
     def __init__(self, *responses):
@@ -41,7 +44,9 @@
         self.calls.append(raw)
         response = self.responses.pop(0)
         if response is not None:
-            status, body, *era = response
+            status, body, *rest = response
+            era, delay_s = rest[:1], rest[1:]
+            await trio.sleep(sum(delay_s))
             text = orjson.dumps(body)
             lines = [
                 f'HTTP/1.1 {status} X',
@@ -155,6 +160,60 @@
     assert followed == page
 
 
+def test_a_response_overtaken_by_a_later_era_counts_as_the_earlier_one():
+    """Else versions of the lost history pass for versions of the new one.
+
+    The store returns from a copy while the response to a read of the table is
+    under way; another call hears of the new era first.
+    """
+    late = (200, _make_page(ver=900), 4)
+    outcomes = _overtake_read_of_table(late, (200, _make_page(ver=5), 5))
+    assert isinstance(outcomes['late'], StoreUnavailable)
+    assert not isinstance(outcomes['early'], StoreUnavailable)
+
+
+def test_changes_that_are_overtaken_by_a_later_era_count_as_lost_history():
+    async def follow(store):
+        page = await store.read_table('op')
+        return await _overtake(
+            lambda: store.read_changes('op', page.version, 0),
+            lambda: store.read_table('servers'),
+        )
+
+    outcomes = _call_store(
+        follow,
+        (200, _make_page(), 4),
+        (200, _make_page(), 4, _LATE_S),
+        (200, _make_page(ver=5), 5),
+    )[0]
+    assert isinstance(outcomes['late'], HistoryLost)
+
+
+def _overtake_read_of_table(late, early):
+    """Return the outcomes of two reads, the first answered after the second."""
+    return _call_store(
+        lambda store: _overtake(
+            lambda: store.read_table('op'), lambda: store.read_table('servers')
+        ),
+        (*late, _LATE_S),
+        early,
+    )[0]
+
+
+async def _overtake(late, early):
+    """Run two calls, the second while the first waits for its response."""
+    outcomes = {}
+
+    async def keep_outcome(name, call):
+        outcomes[name] = await call()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(keep_outcome, 'late', late)
+        await trio.sleep(_LATE_S / 2)
+        nursery.start_soon(keep_outcome, 'early', early)
+    return outcomes
+
+
 def test_changes_between_the_pages_of_a_table_are_read_again():
     page, _ = _call_store(
         lambda store: store.read_table('servers'),
