--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -189,6 +189,17 @@
     assert isinstance(outcomes['late'], HistoryLost)
 
 
+def test_pages_of_a_table_from_two_eras_are_not_joined():
+    """A row that only the lost history had would stay in the copy."""
+    lost = _make_stored_row('a', 3, 1)
+    outcome, _ = _call_store(
+        lambda store: store.read_table('servers'),
+        (200, _make_page(lost, truncated=True), 4),
+        (200, _make_page(_make_stored_row('b', 2, 2), ver=2), 5),
+    )
+    assert isinstance(outcome, StoreUnavailable)
+
+
 def _overtake_read_of_table(late, early):
     """Return the outcomes of two reads, the first answered after the second."""
     return _call_store(
