Use no upstream again that drains, when the store returns from a copy

Cause: the copy lists the row from before the upstream reported that it drains, and a node took a listed row as proof that its upstream is ready. Ruled out: announcements in responses; these are kept for the instance and already outlive the row. Change: a row that says draining is kept as an announcement of that instance, which the selection heeds. A later instance of the name isn't affected. An upstream whose own row says so isn't gossiped for it, so messages don't grow. Left, only suspected: an upstream whose row was removed without draining, and that the copy lists again. Nothing in its row tells it from one that lapsed while the store was away, and is back. Conclusion: what is final for an instance outlives the row that said it.

--- a/packages/core/src/turmericcrank_core/upstream_notices.py
+++ b/packages/core/src/turmericcrank_core/upstream_notices.py
@@ -92,11 +92,14 @@
     """Yield the name and start time of each draining upstream still listed.
 
     They are gossiped repeatedly as long as nodes may consider them usable,
-    so that a node that has just started learns of them too.
+    so that a node that has just started learns of them too. One whose row
+    says that it is draining is known from the row.
     """
     for upstream_id, announcement in notices.announcements_by_id.items():
         upstream = listed_by_id.get(upstream_id)
-        if upstream is not None and is_leaving(notices, upstream):
+        if upstream is None or upstream.is_draining:
+            continue
+        if is_leaving(notices, upstream):
             yield upstream_id, announcement.born_ms
 
 
--- a/packages/node/src/turmericcrank_node/state/table_rows.py
+++ b/packages/node/src/turmericcrank_node/state/table_rows.py
@@ -7,8 +7,9 @@
     RolloutState,
 )
 from turmericcrank_core.upstream_limits import expire_limits
-from turmericcrank_core.upstream_notices import expire_notices
+from turmericcrank_core.upstream_notices import expire_notices, record_leaving
 from turmericcrank_core.upstream_registry import (
+    ListedUpstream,
     expire_missing,
     iter_usable,
     record_listed,
@@ -85,6 +86,7 @@
         present.add(upstream.upstream_id)
         before = state.upstream_registry.by_id.get(upstream.upstream_id)
         record_listed(state.upstream_registry, upstream)
+        _record_draining(state, upstream, now_s)
         if before is None or before.is_draining != upstream.is_draining:
             state.log.write(
                 EventCode.upstream_listed,
@@ -109,6 +111,19 @@
     _refresh_versions(state, now_s)
 
 
+def _record_draining(
+    state: NodeState, upstream: ListedUpstream, now_s: float
+) -> None:
+    """Record that an instance drains, which it never takes back.
+
+    Its earlier row is listed again if the store returns from a copy.
+    """
+    if upstream.is_draining and upstream.born_ms:
+        record_leaving(
+            state.notices, upstream.upstream_id, upstream.born_ms, now_s
+        )
+
+
 def _mark_upstream_missing(
     state: NodeState, row: ChangedRow, now_s: float
 ) -> None:
