Tell orders of a rollout apart when the store returns from a copy

Cause: an order was known by the version of its row alone. After a return from a copy versions begin anew: the same order, written again, may get a higher number and then began anew, whatever its phase; a new order may get a lower number and was then ignored, also when a peer reported or the store still held the earlier one. Ruled out: to join era and version into the number of an order. Change: a node keeps the row from which it knows an order, with its era. A row of a later era is the same order if it asks for the same, a new one otherwise. What peers report of an order that was replaced is ignored; what they report under its later number counts for the known one. A stored phase that is older than the order's row belongs to an earlier order, and a later one that asks for the same belongs to it under any number. Conclusion: a number given out by the store names nothing across its returns.

--- a/packages/node/src/turmericcrank_node/control/rollout_control.py
+++ b/packages/node/src/turmericcrank_node/control/rollout_control.py
@@ -10,6 +10,7 @@
 import trio
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.membership import plan_member_rank
+from turmericcrank_core.rollout_orders import OrderRelation, compare_stored
 from turmericcrank_core.rollout_phases import (
     RolloutPhase,
     RolloutState,
@@ -138,18 +139,15 @@
     planned: RolloutPhase,
     fault: str,
 ) -> None:
-    order = rollout.order
     store = state.platform.store
-    row = await store.read_rollout(order.service)
+    row = await store.read_rollout(rollout.order.service)
     if isinstance(row, StoreUnavailable):
         return
-    is_same = row is not None and row.order.number == order.number
-    if row is not None and (is_same or row.order.number > order.number):
-        began_s = row.began_ms / _MS - state.store_clock_offset_s
-        rollout = RolloutState(row.order, row.phase, began_s)
-        _merge_rollout(state, rollout)
-        if not is_same or not may_follow(row.phase, planned):
-            return
+    if row is not None:
+        rollout = _follow_stored(state, rollout, row, planned)
+    if rollout is None:
+        return
+    order = rollout.order
     began_ms = (rollout.began_s + state.store_clock_offset_s) * _MS
     version = row.version if row else 0
     written = await store.write_rollout(
@@ -169,6 +167,34 @@
     _merge_rollout(state, RolloutState(order, planned, rollout.began_s))
 
 
+def _follow_stored(
+    state: NodeState,
+    rollout: RolloutState,
+    row: RolloutRow,
+    planned: RolloutPhase,
+) -> RolloutState | None:
+    """Follow an order as it is stored, unless that is an earlier one.
+
+    Returns:
+        The rollout to advance; None if the planned phase may not be written.
+    """
+    service = row.order.service
+    known = state.known_orders_by_service.get(service)
+    relation = compare_stored(rollout.order, known, row.order, row.version)
+    if relation is OrderRelation.earlier:
+        return rollout
+    began_s = row.began_ms / _MS - state.store_clock_offset_s
+    stored = RolloutState(row.order, row.phase, began_s)
+    own = state.rollouts_by_service.get(service)
+    if own is not None and own.order != row.order:
+        state.rollouts_by_service[service] = stored
+    _merge_rollout(state, stored)
+    may_write = relation is OrderRelation.same and may_follow(
+        row.phase, planned
+    )
+    return stored if may_write else None
+
+
 def _merge_rollout(state: NodeState, reported: RolloutState) -> None:
     service = reported.order.service
     own = state.rollouts_by_service.get(service)
--- a/packages/node/src/turmericcrank_node/membership/gossip_merge.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_merge.py
@@ -13,6 +13,7 @@
     record_relayed_peer,
 )
 from turmericcrank_core.peer_loads import record_peer_loads
+from turmericcrank_core.rollout_orders import resolve_report
 from turmericcrank_core.rollout_phases import (
     RolloutOrder,
     RolloutPhase,
@@ -301,7 +302,12 @@
     order = RolloutOrder(*order_fields)
     reported = RolloutState(order, RolloutPhase(phase), now_s - age_s)
     own = state.rollouts_by_service.get(order.service)
-    merged = merge_state(own, reported)
+    resolved = resolve_report(
+        own, state.known_orders_by_service.get(order.service), reported
+    )
+    if resolved is None:
+        return False
+    merged = merge_state(own, resolved)
     state.rollouts_by_service[order.service] = merged
     is_new = own is None or merged.phase != own.phase
     if is_new:
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -312,6 +312,8 @@
             rows.
         decode_rollout_order: Decodes a rollout order from a row; None for other
             rows.
+        find_era: Returns how often the store had returned from a copy before
+            it gave out a version.
         decode_upstream: Decodes an upstream from a row; None if the row is
             deleted or malformed.
         decode_request: Decodes a client request.
@@ -331,6 +333,7 @@
     upstream_table: str
     decode_configuration: Callable[[ChangedRow], RouteTable | None]
     decode_rollout_order: Callable[[ChangedRow], RolloutOrder | None]
+    find_era: Callable[[int], int]
     decode_upstream: Callable[[ChangedRow], ListedUpstream | None]
     decode_request: Callable[[ClientRequest], DecodedRequest]
     decode_response_head: Callable[[int, Headers], ResponseInfo]
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -16,6 +16,7 @@
 from turmericcrank_core.model_escalation import FirstEventForecast
 from turmericcrank_core.peer_loads import PeerLoads
 from turmericcrank_core.retry_windows import RetryWindow
+from turmericcrank_core.rollout_orders import KnownOrder
 from turmericcrank_core.rollout_phases import RolloutState
 from turmericcrank_core.routing import ClientLimits, RouteTable
 from turmericcrank_core.send_permits import SendPermits
@@ -175,6 +176,8 @@
     retries_by_service: dict[str, RetryWindow] = field(default_factory=dict)
     # Written by rollout_control, table_watch and gossip_merge.
     rollouts_by_service: dict[str, RolloutState] = field(default_factory=dict)
+    # Written by table_watch.
+    known_orders_by_service: dict[str, KnownOrder] = field(default_factory=dict)
     # Written by rollout_control.
     abort_reasons_by_order: dict[tuple[str, int], str] = field(
         default_factory=dict
--- a/packages/node/src/turmericcrank_node/state/table_rows.py
+++ b/packages/node/src/turmericcrank_node/state/table_rows.py
@@ -1,11 +1,12 @@
 """Applies rows of the followed tables to the state of this node."""
 
 from turmericcrank_core.event_codes import EventCode
-from turmericcrank_core.rollout_phases import (
-    RolloutOrder,
-    RolloutPhase,
-    RolloutState,
+from turmericcrank_core.rollout_orders import (
+    KnownOrder,
+    StoredOrder,
+    is_new_order,
 )
+from turmericcrank_core.rollout_phases import RolloutPhase, RolloutState
 from turmericcrank_core.upstream_limits import expire_limits
 from turmericcrank_core.upstream_notices import expire_notices, record_leaving
 from turmericcrank_core.upstream_registry import (
@@ -48,7 +49,8 @@
     _apply_table(state, row)
     order = state.platform.decode_rollout_order(row)
     if order is not None:
-        _apply_order(state, order)
+        era = state.platform.find_era(row.version)
+        _apply_order(state, StoredOrder(order, row.version, era))
 
 
 def _apply_table(state: NodeState, row: ChangedRow) -> None:
@@ -65,11 +67,20 @@
         )
 
 
-def _apply_order(state: NodeState, order: RolloutOrder) -> None:
-    ordered = RolloutState(order, RolloutPhase.ordered, read_boottime_s())
-    own = state.rollouts_by_service.get(order.service)
-    if own is None or order.number > own.order.number:
-        state.rollouts_by_service[order.service] = ordered
+def _apply_order(state: NodeState, read: StoredOrder) -> None:
+    """Follow an order unless it is the one that this node follows."""
+    service = read.order.service
+    rollout = state.rollouts_by_service.get(service)
+    own = rollout.order if rollout else None
+    known = state.known_orders_by_service.get(service)
+    if is_new_order(own, known, read):
+        state.rollouts_by_service[service] = RolloutState(
+            read.order, RolloutPhase.ordered, read_boottime_s()
+        )
+        state.known_orders_by_service[service] = KnownOrder(read, own)
+    elif known is None or read.change > known.stored.change:
+        replaced = known.replaced if known else None
+        state.known_orders_by_service[service] = KnownOrder(read, replaced)
 
 
 def apply_upstreams(
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -31,6 +31,8 @@
 from tests.router_builders import HOST, KEY, make_upstream
 from tests.upstream_fakes import FakeUpstream
 
+# Versions that the fake store gives out before it returns from a copy.
+VERSIONS_PER_ERA = 1000
 _MEMBER_FOR_S = 60
 
 
@@ -107,6 +109,7 @@
         upstream_table='upstreams',
         decode_configuration=lambda _row: None,
         decode_rollout_order=lambda _row: None,
+        find_era=lambda version: version // VERSIONS_PER_ERA,
         decode_upstream=lambda _row: None,
         decode_request=_decode_request,
         decode_response_head=_decode_response_head,
--- a/tests/state/test_returned_store.py
+++ b/tests/state/test_returned_store.py
@@ -3,19 +3,37 @@
 from dataclasses import replace
 
 import trio
-from turmericcrank_node.platform_port import ChangedRow, FeedPage, HistoryLost
+from turmericcrank_core.rollout_phases import RolloutPhase, RolloutState
+from turmericcrank_node.control.rollout_control import run_rollout_control
+from turmericcrank_node.platform_port import (
+    ChangedRow,
+    FeedPage,
+    HistoryLost,
+    RolloutRow,
+)
 from turmericcrank_node.state import table_watch
 from turmericcrank_node.state.node_state import read_boottime_s
+from turmericcrank_node.state.table_rows import apply_configuration
 from turmericcrank_node.upstreams.upstream_selection import (
     UpstreamRequirements,
     select_upstream,
 )
 
-from tests.router_builders import make_route, make_table, make_upstream
-from tests.router_fakes import FakeRows, list_upstreams, make_node_state
+from tests.router_builders import (
+    make_order,
+    make_route,
+    make_table,
+    make_upstream,
+)
+from tests.router_fakes import (
+    VERSIONS_PER_ERA,
+    FakeRows,
+    list_upstreams,
+    make_node_state,
+)
 
 _LOST_VERSION = 90
-_RETURNED_VERSION = 1000
+_RETURNED_VERSION = VERSIONS_PER_ERA + 80
 _BORN_MS = 5
 _READY = make_upstream('u1', born_ms=_BORN_MS)
 _RESTARTED = make_upstream('u1', born_ms=_BORN_MS + 1)
@@ -84,3 +102,62 @@
     list_upstreams(state, _READY)
     _read(state, times=3)
     assert _select(state) is not None
+
+
+def _read_order(state, version, order):
+    """Let a node read the row of an order in the configuration table."""
+    state.platform = replace(
+        state.platform, decode_rollout_order=lambda _row: order
+    )
+    row = ChangedRow('rollout', version, b'')
+    apply_configuration(state, FeedPage((row,), version, 0), is_complete=False)
+
+
+def _make_rolled_back_node():
+    """Make a node that knows an order of the lost seconds as rolled back."""
+    state = make_node_state(make_table(make_route()))
+    order = make_order(number=_LOST_VERSION)
+    _read_order(state, _LOST_VERSION, order)
+    state.rollouts_by_service['engine'] = RolloutState(
+        order, RolloutPhase.rolled_back, 0
+    )
+    return state
+
+
+def test_a_rolled_back_version_is_not_tried_again_after_the_store_returned():
+    """The operators' order is written again, at a higher version this time."""
+    state = _make_rolled_back_node()
+    again = make_order(number=_LOST_VERSION + 3)
+    _read_order(state, VERSIONS_PER_ERA + again.number, again)
+    known = state.rollouts_by_service['engine']
+    assert known.phase is RolloutPhase.rolled_back
+
+
+def test_a_new_order_is_followed_after_the_store_returned():
+    """Its version is below that of the order that it replaces."""
+    state = _make_rolled_back_node()
+    following = make_order(number=_LOST_VERSION - 3, version='v3')
+    _read_order(state, VERSIONS_PER_ERA + following.number, following)
+    known = state.rollouts_by_service['engine']
+    assert known.order == following
+    assert known.phase is RolloutPhase.ordered
+
+
+def test_a_node_that_starts_later_takes_up_what_is_stored_of_an_order():
+    """The phase is stored under the number from before the return."""
+    stored = make_order(number=_LOST_VERSION)
+    again = make_order(number=_LOST_VERSION + 3)
+    rows = FakeRows(version=VERSIONS_PER_ERA + again.number + 1)
+    rows.rollouts['engine'] = RolloutRow(
+        stored, RolloutPhase.rolled_back, 0, rows.version
+    )
+    state = make_node_state(make_table(make_route()), rows)
+    _read_order(state, VERSIONS_PER_ERA + again.number, again)
+
+    async def control():
+        with trio.move_on_after(0.4):
+            await run_rollout_control(state)
+
+    trio.run(control)
+    assert rows.rollouts['engine'].phase is RolloutPhase.rolled_back
+    assert state.rollouts_by_service['engine'].phase is RolloutPhase.rolled_back
