Write no phase of a rollout over a row of a later era of the store

Cause: a phase is written on condition that its row still has the version that was read. After a return of the store from a copy versions are given out again, so the condition can hold for another phase. Change: a row of an earlier era than the store's is a conflict, without a call; a write that meets a later era only in its own response proves nothing, and the row is read again. Test: test_a_rollout_row_of_an_earlier_era_is_not_written_over and test_a_write_that_meets_a_later_era_proves_nothing failed before. Left: a write that the store does on its own after its return, before any other response; its condition can't name an era. Conclusion: a condition on a version holds within one era.

--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -18,6 +18,13 @@
 from turmericcrank_platform.show import show_site
 from turmericcrank_platform.store import make_store
 
+_STORED_PROGRESS = {
+    'version': 'v2',
+    'duration_s': 12,
+    'number': 33,
+    'phase': 2,
+    'began_ms': 5.0,
+}
 # Time after which a late response arrives, in seconds.
 _LATE_S = 0.3
 
@@ -250,17 +257,40 @@
     assert isinstance(conflict, Conflict)
 
 
+def test_a_rollout_row_of_an_earlier_era_is_not_written_over():
+    """Another phase may have got the same version since the return."""
+
+    async def write_across_eras(store):
+        row = await store.read_rollout('s1')
+        await store.read_table('servers')
+        return await store.write_rollout(row)
+
+    written, calls = _call_store(
+        write_across_eras,
+        (200, _make_page(_make_stored_row('s1', 8, _STORED_PROGRESS)), 4),
+        (200, _make_page(), 5),
+        (200, {'ver': 41}, 5),
+    )
+    assert isinstance(written, Conflict)
+    assert len(calls) == 2
+
+
+def test_a_write_that_meets_a_later_era_proves_nothing():
+    async def write_across_eras(store):
+        return await store.write_rollout(await store.read_rollout('s1'))
+
+    written, _ = _call_store(
+        write_across_eras,
+        (200, _make_page(_make_stored_row('s1', 8, _STORED_PROGRESS)), 4),
+        (200, {'ver': 41}, 5),
+    )
+    assert isinstance(written, StoreUnavailable)
+
+
 def test_stored_rollout_progress_is_decoded():
-    stored_progress = {
-        'version': 'v2',
-        'duration_s': 12,
-        'number': 33,
-        'phase': 2,
-        'began_ms': 5.0,
-    }
     row, _ = _call_store(
         lambda store: store.read_rollout('s1'),
-        (200, _make_page(_make_stored_row('s1', 8, stored_progress))),
+        (200, _make_page(_make_stored_row('s1', 8, _STORED_PROGRESS))),
     )
     order = RolloutOrder('s1', 'v2', 12, 33)
     assert row == RolloutRow(order, RolloutPhase.full, 5.0, 8)
@@ -282,11 +312,8 @@
     table = {'version': 7, 'routes': [route], 'services': []}
     order = {'service': 's1', 'to': 'v2', 'duration-s': 12}
     stored_progress = {
-        'version': 'v2',
-        'duration_s': 12,
-        'number': 33,
+        **_STORED_PROGRESS,
         'phase': 4,
-        'began_ms': 5.0,
     }
     responses = (
         _make_page(
