Register a node again when the store has returned from a copy

Cause: a node wrote itself into the list of nodes once and took its write as proof that the row stays. A return from a copy takes away what was written since; with nodes that all started in those seconds the list is empty for good. Change: a node whose rank asks for it registers again once it has read the store in a later era. Test: test_a_node_registers_again_when_the_store_lost_its_row failed before (True, False, False); without a return nothing is written again. Conclusion: an acknowledged write lasts for one era.

--- a/packages/node/src/turmericcrank_node/membership/gossip_server.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_server.py
@@ -43,6 +43,7 @@
 _MAX_DATAGRAM = 65000
 _JOIN_INTERVAL_S = 1
 _ISOLATED_INTERVAL_S = 3
+_NOT_REGISTERED = -1
 
 
 @dataclass(slots=True)
@@ -103,10 +104,11 @@
 async def _serve_join(sender: _GossipSender) -> None:
     """Contact the seeds, and the registered nodes while no peer responds.
 
-    This node registers itself in the store if its rank requires it.
+    This node registers itself in the store if its rank requires it, and again
+    after the store returned from a copy that may be older than its row.
     """
     state = sender.state
-    is_registered = False
+    registered_era = _NOT_REGISTERED
     for address in _list_silent_seeds(state):
         await _send_join_message(sender, address)
     # Isolation and rank are unknown until the peers have had time to respond.
@@ -117,17 +119,25 @@
         now_s = read_boottime_s()
         is_alone = not any(iter_alive(state.members, now_s))
         rank = plan_member_rank(state.members, state.settings.node_id, now_s)
-        if not is_registered and should_register(rank, is_alone):
+        era = _find_store_era(state)
+        if era > registered_era and should_register(rank, is_alone):
             written = await state.platform.store.write_node(
                 state.settings.node_id, state.settings.addresses.peer
             )
-            is_registered = not isinstance(written, StoreUnavailable)
+            if not isinstance(written, StoreUnavailable):
+                registered_era = era
         if is_alone:
             await _contact_registered_members(sender)
             await trio.sleep(_ISOLATED_INTERVAL_S - _JOIN_INTERVAL_S)
         await trio.sleep(_JOIN_INTERVAL_S)
 
 
+def _find_store_era(state: NodeState) -> int:
+    """Return how often the store had returned from a copy when last read."""
+    version = state.configuration_staleness.read_version
+    return state.platform.find_era(max(0, version))
+
+
 def _list_silent_seeds(state: NodeState) -> list[str]:
     """List the seeds that are not known as live; some may start later."""
     alive = iter_alive(state.members, read_boottime_s())
