--- a/tests/state/test_review_failures.py
+++ b/tests/state/test_review_failures.py
@@ -10,6 +10,7 @@
 import pytest
 import trio
 from turmericcrank_core.table_staleness import TableStaleness
+from turmericcrank_core.upstream_registry import iter_usable
 from turmericcrank_node.membership.gossip_fields import make_staleness_rows
 from turmericcrank_node.membership.gossip_merge import merge_message
 from turmericcrank_node.state import table_watch
@@ -131,3 +132,21 @@
             _report(sender, receiver)
     in_use = [set(node.table.teams_by_key) for node in nodes]
     assert in_use == [{_KEPT_KEY}] * len(nodes)
+
+
+def test_drain_a_removed_upstream_stays_in_use_while_nodes_restart(store):
+    """Guards DRAIN, review/2: a whole read passed for one of the deletion.
+
+    Nodes restart one after the other and read the table without the row; what
+    they said kept the other node from reading the deletion.
+    """
+    store.put('servers', 'u1', _make_entry(1))
+    store.put('servers', 'u2', _make_entry(2))
+    other = _start_node('other')
+    store.delete('servers', 'u1')
+    for number in range(20):
+        CLOCK.now_s += _STEP_S
+        _report(_start_node(f'restarted-{number}'), other)
+        _read_if_due(other)
+    usable = iter_usable(other.upstream_registry, _SERVICE, read_boottime_s())
+    assert [upstream.upstream_id for upstream in usable] == ['u2']
