Log each charged or refused retry with what its budget was computed from

Change: lines 204 (charged) and 213 (refused) carry the rest of the node's part, the attempts and retries of the window, its share of the fixed part and the number of nodes that divide it; gauge turmericcrank_retries_left. The decision is the same. A test of retries passed no call where one is named in the line now; it uses the builder that the other tests use.

--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -30,6 +30,7 @@
     answer_doubted = 210
     stream_broken = 211
     attempt_ended = 212
+    retry_refused = 213
     claim_won = 300
     claim_conflict = 301
     claim_undecided = 302
--- a/packages/node/src/turmericcrank_node/serving/in_flight_request.py
+++ b/packages/node/src/turmericcrank_node/serving/in_flight_request.py
@@ -6,12 +6,6 @@
 from turmericcrank_core.codes import CODES, ResultCode
 from turmericcrank_core.crash_evidence import Suspect
 from turmericcrank_core.event_codes import EventCode
-from turmericcrank_core.retry_windows import (
-    RetryLimits,
-    RetryWindow,
-    count_retries_left,
-    record_retry,
-)
 from turmericcrank_core.routing import ForwardRoute, Team
 from turmericcrank_core.upstream_health import record_outcome, start_ejection
 from turmericcrank_core.upstream_limits import active_limit_per_s
@@ -22,10 +16,6 @@
 from turmericcrank_node.control.version_evidence import (
     record_version_response,
 )
-from turmericcrank_node.membership.limit_shares import (
-    is_member_for,
-    refresh_sharing_nodes,
-)
 from turmericcrank_node.platform_port import DecodedRequest
 from turmericcrank_node.serving.client_exchange import ClientExchange
 from turmericcrank_node.state.in_flight_attempt import InFlightAttempt
@@ -39,6 +29,10 @@
     record_in_flight,
 )
 from turmericcrank_node.upstreams.request_limits import acquire_permit
+from turmericcrank_node.upstreams.retry_permits import (
+    acquire_retry,
+    has_retry_budget,
+)
 from turmericcrank_node.upstreams.upstream_selection import (
     UpstreamRequirements,
     count_limited,
@@ -54,9 +48,7 @@
     'can_retry_now',
     'check_for_crash',
     'end_attempt',
-    'find_retry_window',
     'has_attempts_left',
-    'has_retry_budget',
     'is_slow_response',
     'record_attempt_result',
     'reject_after_fault',
@@ -315,42 +307,12 @@
         return False
     if n_earlier == 0:
         return True
-    if not has_retry_budget(state, in_flight.requirements.service):
-        return False
-    record_retry(
-        find_retry_window(state, in_flight.requirements.service),
-        read_boottime_s(),
+    return acquire_retry(
+        state,
+        in_flight.requirements.service,
+        in_flight.call.request_id,
+        n_earlier + 1,
     )
-    return True
-
-
-def has_retry_budget(
-    state: NodeState, service: str, n_reserved: int = 0
-) -> bool:
-    """Return whether the retry budget allows a retry.
-
-    The fixed part of the site's retry budget is divided among all nodes. A
-    node that started within the window gets nothing of it, as the process
-    before it may have used its part.
-
-    Args:
-        state: The node.
-        service: Service that is retried.
-        n_reserved: Retries that must remain in the budget afterwards.
-    """
-    now_s = read_boottime_s()
-    bounds = state.settings.bounds
-    slack = 0.0
-    if is_member_for(state, bounds.retry_window_s):
-        slack = bounds.retry_slack / len(refresh_sharing_nodes(state).node_ids)
-    limits = RetryLimits(bounds.retry_ratio, slack, bounds.retry_window_s)
-    window = find_retry_window(state, service)
-    return count_retries_left(window, limits, now_s) >= 1 + n_reserved
-
-
-def find_retry_window(state: NodeState, service: str) -> RetryWindow:
-    """Return the sliding window of attempts at a service."""
-    return state.retries_by_service.setdefault(service, RetryWindow())
 
 
 async def reject_after_fault(
--- a/packages/node/src/turmericcrank_node/serving/router.py
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -19,7 +19,6 @@
 from turmericcrank_node.serving.client_exchange import ClientExchange
 from turmericcrank_node.serving.in_flight_request import (
     InFlightRequest,
-    find_retry_window,
     reject_request,
 )
 from turmericcrank_node.serving.request_reading import ClientRequest
@@ -36,6 +35,7 @@
     fingerprint_request,
     make_suspect,
 )
+from turmericcrank_node.upstreams.retry_permits import find_retry_window
 from turmericcrank_node.upstreams.upstream_selection import UpstreamRequirements
 
 __all__ = ('handle_request', 'reject_body')
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -28,7 +28,6 @@
     InFlightRequest,
     can_retry_now,
     has_attempts_left,
-    has_retry_budget,
     time_left_s,
 )
 from turmericcrank_node.serving.stream_state import (
@@ -51,6 +50,7 @@
     wait_for_upstream,
 )
 from turmericcrank_node.upstreams.poison_detection import record_output
+from turmericcrank_node.upstreams.retry_permits import has_retry_budget
 from turmericcrank_node.upstreams.upstream_selection import select_upstream
 
 __all__ = ('Relay', 'relay_stream')
--- a/packages/node/src/turmericcrank_node/state/router_metrics.py
+++ b/packages/node/src/turmericcrank_node/state/router_metrics.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
 __all__ = ('RouterMetrics', 'make_metrics', 'write_metrics')
@@ -27,6 +27,8 @@
             version, in seconds.
         store_s: Duration of calls to the store, by outcome, in seconds.
         gossip_bytes: Bytes of gossip messages sent to other nodes.
+        retries_left: Retries that this node may still start in the window,
+            by service, as of the last retry.
     """
 
     registry: CollectorRegistry
@@ -35,6 +37,7 @@
     head_s: Histogram
     store_s: Histogram
     gossip_bytes: Counter
+    retries_left: Gauge
 
 
 def make_metrics() -> RouterMetrics:
@@ -65,6 +68,12 @@
             'Messages to other nodes.',
             registry=registry,
         ),
+        Gauge(
+            'turmericcrank_retries_left',
+            'Retries left to this node.',
+            ('service',),
+            registry=registry,
+        ),
     )
 
 
--- a/tests/membership/test_retry_shares.py
+++ b/tests/membership/test_retry_shares.py
@@ -4,10 +4,8 @@
 
 import pytest
 import trio
-from turmericcrank_node.serving.in_flight_request import (
-    acquire_attempt,
-    has_retry_budget,
-)
+from turmericcrank_node.serving.in_flight_request import acquire_attempt
+from turmericcrank_node.upstreams.retry_permits import has_retry_budget
 
 from tests.gossip_simulation import make_node, start_simulation
 from tests.request_builders import make_in_flight
--- a/tests/serving/test_request_acceptance.py
+++ b/tests/serving/test_request_acceptance.py
@@ -6,16 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from turmericcrank_core.membership import Peer, record_peer
-from turmericcrank_core.routing import CallKind, ClientLimits, Team
-from turmericcrank_node.serving.in_flight_request import (
-    InFlightRequest,
-    acquire_attempt,
-)
+from turmericcrank_core.routing import CallKind, ClientLimits
+from turmericcrank_node.serving.in_flight_request import acquire_attempt
 from turmericcrank_node.state.node_state import read_boottime_s
 from turmericcrank_node.state.router_metrics import write_metrics
-from turmericcrank_node.upstreams.upstream_selection import UpstreamRequirements
 
-from tests.router_builders import HOST, KEY, make_route, make_table
+from tests.request_builders import make_in_flight
+from tests.router_builders import KEY, make_route, make_table
 from tests.router_fakes import (
     make_node_state,
     open_client,
@@ -223,7 +220,7 @@
     _add_alive_peers(state, n_nodes - 1)
     bounds = replace(state.settings.bounds, retry_slack=allowed)
     state.settings = replace(state.settings, bounds=bounds)
-    in_flight = _make_in_flight(state)
+    in_flight = make_in_flight('r1', trio.current_time())
     return sum(acquire_attempt(state, in_flight, 1) for _ in range(n_requested))
 
 
@@ -232,10 +229,3 @@
         now_s = read_boottime_s()
         peer = Peer(f'p{number}', 'a', 'dc1', '', '', True, now_s)
         record_peer(state.members, peer)
-
-
-def _make_in_flight(state):
-    route = state.table.routes_by_host[HOST][0]
-    requirements = UpstreamRequirements('engine', 's', '', '')
-    call = None
-    return InFlightRequest(call, route, Team('t'), requirements, float('inf'))
