Bound what all responses hold together, and pace streams without end

Each part of an incomplete event was searched together with all before it, so 1 MiB of one event cost its square; chunks that were received together were handled without letting other tasks run; nothing bounded the processor time of streams. Ruled out: heads (bounded, 64 KiB), client bodies (in the budget already). Change: responses and incomplete events take from the budget of the bodies as they grow, a large one at the most what it leaves free; large ones are not copied to be sent. A response of the store ends at 8 MiB, not 32.

--- a/packages/node/src/turmericcrank_node/http_connection.py
+++ b/packages/node/src/turmericcrank_node/http_connection.py
@@ -13,10 +13,16 @@
 
 import h11
 import trio
+from turmericcrank_core.inbound import (
+    ByteHold,
+    hold_bytes,
+    release_hold,
+)
 
 __all__ = (
     'CLIENT_KEEPALIVE',
     'CONNECTION_ERRORS',
+    'MAX_COPIED_BYTES',
     'UPSTREAM_KEEPALIVE',
     'ByteStream',
     'ConnectFault',
@@ -45,9 +51,11 @@
 )
 
 _READ_BYTES = 65536
+# Fewer bytes, since an event of a stream may have two of them.
+_EVENT_READ_BYTES = 8192
 _MAX_HEAD_BYTES = 65536
 # Smaller bodies are sent with the head, in one segment or a few.
-_MAX_COPIED_BYTES = 65536
+MAX_COPIED_BYTES = 65536
 _MAX_INTERIM_HEADS = 16
 _KEEPALIVE_PROBES = 2
 _UPSTREAM_UNACKNOWLEDGED_MS = 3000
@@ -100,6 +108,7 @@
     ended_early = 'ended early'
     not_http = 'not HTTP'
     too_large = 'too large'
+    no_room = 'no room in memory'
 
 
 @dataclass(slots=True, frozen=True)
@@ -214,7 +223,7 @@
     if body:
         parts += parser.send_with_data_passthrough(h11.Data(data=body)) or ()
     parts.append(parser.send(h11.EndOfMessage()) or b'')
-    if len(body) <= _MAX_COPIED_BYTES:
+    if len(body) <= MAX_COPIED_BYTES:
         parts = [b''.join(parts)]
     try:
         for part in filter(None, parts):
@@ -229,7 +238,7 @@
 ) -> ResponseHead | ReadFault:
     """Read the head of the final response; skip a few interim responses."""
     for _number in range(_MAX_INTERIM_HEADS + 1):
-        event = await _next_event(connection)
+        event = await _next_event(connection, _EVENT_READ_BYTES)
         if isinstance(event, ReadFault):
             return event
         if isinstance(event, h11.Response):
@@ -240,10 +249,15 @@
 
 
 async def read_body_part(
-    connection: UpstreamConnection,
+    connection: UpstreamConnection, read_bytes: int = _EVENT_READ_BYTES
 ) -> bytes | ReadFault | None:
-    """Read the next part of the body; None at its end."""
-    event = await _next_event(connection)
+    """Read the next part of the body; None at its end.
+
+    Args:
+        connection: Connection whose response head has been read.
+        read_bytes: Most bytes to receive at a time.
+    """
+    event = await _next_event(connection, read_bytes)
     if isinstance(event, ReadFault):
         return event
     if isinstance(event, h11.Data):
@@ -254,21 +268,43 @@
 
 
 async def read_body(
-    connection: UpstreamConnection, max_bytes: int
-) -> bytes | ReadFault:
-    """Read the complete body; ``too_large`` if it exceeds ``max_bytes``."""
-    parts = []
-    n_bytes = 0
+    connection: UpstreamConnection,
+    max_bytes: int,
+    hold: ByteHold | None = None,
+) -> bytes | bytearray | ReadFault:
+    """Read the complete body.
+
+    Args:
+        connection: Connection whose response head has been read.
+        max_bytes: Most bytes of a body.
+        hold: Memory that the body takes, released if it can't be read; None
+            if ``max_bytes`` alone bounds it.
+
+    Returns:
+        The body, or ``too_large`` or ``no_room`` for one that is too large.
+    """
+    body = bytearray()
     while True:
-        part = await read_body_part(connection)
+        part = await read_body_part(connection, _READ_BYTES)
         if part is None:
-            return b''.join(parts)
+            return body
+        if not isinstance(part, ReadFault):
+            body += part
+            part = _check_size(body, max_bytes, hold)
         if isinstance(part, ReadFault):
+            if hold is not None:
+                release_hold(hold)
             return part
-        parts.append(part)
-        n_bytes += len(part)
-        if n_bytes > max_bytes:
-            return ReadFault.too_large
+
+
+def _check_size(
+    body: bytearray, max_bytes: int, hold: ByteHold | None
+) -> ReadFault | None:
+    if len(body) > max_bytes:
+        return ReadFault.too_large
+    if hold is not None and not hold_bytes(hold, len(body)):
+        return ReadFault.no_room
+    return None
 
 
 def is_success(status: int) -> bool:
@@ -284,20 +320,26 @@
     return ''
 
 
-async def _next_event(connection: UpstreamConnection) -> Any:
+async def _next_event(connection: UpstreamConnection, read_bytes: int) -> Any:
+    """Read the next protocol event; let other tasks run in any case."""
     parser = connection.parser
+    is_received = False
     while True:
         try:
             event = parser.next_event()
         except h11.RemoteProtocolError:
             return _classify_protocol_error(parser)
         if event is not h11.NEED_DATA:
-            return event
+            break
         try:
-            received = await connection.stream.receive_some(_READ_BYTES)
+            received = await connection.stream.receive_some(read_bytes)
         except CONNECTION_ERRORS:
             return ReadFault.reset
         parser.receive_data(received)
+        is_received = True
+    if not is_received:
+        await trio.lowlevel.cancel_shielded_checkpoint()
+    return event
 
 
 def _classify_protocol_error(parser: h11.Connection) -> ReadFault:
--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -8,8 +8,8 @@
 from functools import partial
 
 import trio
-from turmericcrank_core.byte_budget import make_body_budget
 from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.inbound import make_body_budget
 from turmericcrank_core.network_address import split_address
 
 from turmericcrank_node.control.rollout_control import run_rollout_control
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -2,7 +2,7 @@
 
 import h11
 import trio
-from turmericcrank_core.byte_budget import release_bytes
+from turmericcrank_core.inbound import release_bytes
 
 from turmericcrank_node.http_connection import (
     CLIENT_KEEPALIVE,
--- a/packages/node/src/turmericcrank_node/serving/client_exchange.py
+++ b/packages/node/src/turmericcrank_node/serving/client_exchange.py
@@ -6,7 +6,11 @@
 import h11
 import trio
 
-from turmericcrank_node.http_connection import CONNECTION_ERRORS, Headers
+from turmericcrank_node.http_connection import (
+    CONNECTION_ERRORS,
+    MAX_COPIED_BYTES,
+    Headers,
+)
 
 __all__ = ('ClientExchange', 'describe_disconnect')
 
@@ -58,15 +62,20 @@
         return self.is_complete
 
     async def send_response(
-        self, status: int, headers: Headers, body: bytes
+        self, status: int, headers: Headers, body: bytes | bytearray
     ) -> None:
-        """Send a complete response."""
+        """Send a complete response; a large body is not copied."""
         length = (b'content-length', str(len(body)).encode())
-        raw = self._write_head(status, [*headers, length])
+        parts = [self._write_head(status, [*headers, length])]
         if body:
-            raw += self.parser.send(h11.Data(data=body)) or b''
-        raw += self.parser.send(h11.EndOfMessage()) or b''
-        self.is_complete = await self._write(raw)
+            parts += self.parser.send_with_data_passthrough(h11.Data(data=body))
+        parts.append(self.parser.send(h11.EndOfMessage()) or b'')
+        if len(body) <= MAX_COPIED_BYTES:
+            parts = [b''.join(parts)]
+        is_sent = True
+        for part in parts:
+            is_sent = is_sent and await self._write(part)
+        self.is_complete = is_sent
 
     def _write_head(self, status: int, headers: Headers) -> bytes:
         self.is_started = True
--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -7,7 +7,7 @@
 
 import h11
 import trio
-from turmericcrank_core.byte_budget import ByteBudget, reserve_bytes
+from turmericcrank_core.inbound import ByteBudget, reserve_bytes
 from turmericcrank_core.routing import ClientLimits
 
 from turmericcrank_node.http_connection import (
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -12,6 +12,7 @@
 
 import trio
 from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.inbound import ByteHold, release_hold
 from turmericcrank_core.model_escalation import (
     EscalationState,
     current_model,
@@ -82,9 +83,22 @@
     models = (
         in_flight.route.models if in_flight.call.allows_model_choice else ()
     )
+    hold = ByteHold(state.body_budget)
     progress = StreamProgress(
-        EscalationState(models), in_flight.call.last_event_id
+        EscalationState(models), hold, in_flight.call.last_event_id
     )
+    try:
+        await _serve_stream(state, in_flight, exchange, progress)
+    finally:
+        release_hold(hold)
+
+
+async def _serve_stream(
+    state: NodeState,
+    in_flight: InFlightRequest,
+    exchange: ClientExchange,
+    progress: StreamProgress,
+) -> None:
     best = await _try_upstreams(state, in_flight, exchange, progress)
     if isinstance(best, Done):
         _log_end(
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -6,6 +6,7 @@
 
 import trio
 from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.inbound import hold_bytes, plan_read_delay_s
 from turmericcrank_core.model_escalation import (
     EscalationInputs,
     EscalationSettings,
@@ -98,6 +99,7 @@
             outcome = await _relay_events(state, relay, events)
             if any(event.event_id for event in events):
                 last_event_s = trio.current_time()
+            await _wait_for_turn(state, relay, len(part), len(events))
         else:
             outcome = await _end_relay(relay, part)
     return outcome
@@ -118,8 +120,11 @@
 ) -> AttemptFault | None:
     """Forward complete events; return why the stream can't go on."""
     progress = relay.progress
-    if len(progress.splitter.buffer) > _MAX_EVENT_BYTES:
+    n_buffered = len(progress.splitter.buffer)
+    if n_buffered > _MAX_EVENT_BYTES:
         return AttemptFault(FaultKind.unknown, ReadFault.too_large.value)
+    if not hold_bytes(progress.hold, n_buffered):
+        return AttemptFault(FaultKind.unknown, ReadFault.no_room.value)
     _record_events(state, relay, len(events))
     await _forward_events(relay, events)
     if progress.is_client_gone:
@@ -127,6 +132,21 @@
     return None
 
 
+async def _wait_for_turn(
+    state: NodeState, relay: Relay, n_bytes: int, n_events: int
+) -> None:
+    """Wait until the stream may be read again."""
+    delay_s = plan_read_delay_s(
+        relay.progress.pace,
+        state.shared_pace,
+        n_bytes,
+        n_events,
+        trio.current_time(),
+    )
+    if delay_s > 0:
+        await trio.sleep(delay_s)
+
+
 async def _end_relay(
     relay: Relay, part: AttemptFault | ReadFault | None
 ) -> StreamOutcome:
@@ -163,7 +183,9 @@
 
 async def _read_error_response(relay: Relay) -> StreamOutcome:
     connection = relay.open_response.connection
-    body = await read_body(connection, _MAX_ERROR_BODY_BYTES)
+    body = await read_body(
+        connection, _MAX_ERROR_BODY_BYTES, relay.progress.hold
+    )
     if isinstance(body, ReadFault):
         return AttemptFault(FaultKind.unknown, body.value)
     return Failed(relay.open_response, body)
@@ -293,7 +315,7 @@
 
 
 async def _finish_response(relay: Relay) -> StreamOutcome:
-    rest = relay.progress.splitter.buffer
+    rest = bytes(relay.progress.splitter.buffer)
     if not relay.exchange.is_started:
         await _start_response(relay, rest)
     elif rest:
--- a/packages/node/src/turmericcrank_node/serving/stream_state.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from turmericcrank_core.inbound import ByteHold, ReadPace
 from turmericcrank_core.model_escalation import EscalationState
 from turmericcrank_core.sse import EventSplitter
 
@@ -45,17 +46,21 @@
 
     Attributes:
         escalation: Models that may answer the request, and the current model.
+        hold: Memory that an incomplete event or an error response takes.
         last_event_id: Id of the last event sent to the client.
         is_client_gone: Whether the client has disconnected.
         splitter: Buffer for the bytes of an incomplete event.
         timing: Event timing of the current upstream.
+        pace: What it may read freely.
     """
 
     escalation: EscalationState
+    hold: ByteHold
     last_event_id: str = ''
     is_client_gone: bool = False
     splitter: EventSplitter = field(default_factory=EventSplitter)
     timing: StreamTiming = field(default_factory=StreamTiming)
+    pace: ReadPace = field(default_factory=ReadPace)
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,7 +89,7 @@
     """
 
     open_response: OpenResponse
-    body: bytes
+    body: bytes | bytearray
 
 
 StreamOutcome = Done | Doubted | Failed | AttemptFault
--- a/packages/node/src/turmericcrank_node/serving/unary_call.py
+++ b/packages/node/src/turmericcrank_node/serving/unary_call.py
@@ -6,6 +6,7 @@
 
 import trio
 from turmericcrank_core.event_codes import EventCode
+from turmericcrank_core.inbound import ByteHold, release_hold
 from turmericcrank_core.upstream_registry import ListedUpstream
 
 from turmericcrank_node.http_connection import Headers, ReadFault, read_body
@@ -51,7 +52,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
 
 
 async def handle_unary_call(
@@ -63,30 +64,43 @@
     certainly not executed, and it continues when its client disconnects.
     """
     is_shielded = not in_flight.route.is_repeatable
-    with trio.CancelScope(shield=is_shielded):
-        outcome = await _try_upstreams(state, in_flight)
-        if isinstance(outcome, _CompleteResponse):
-            # A response is still sent after the deadline, since a client
-            # behind a slow link may keep reading.
-            with trio.move_on_after(
-                max(0, time_left_s(in_flight)) + _LATE_DELIVERY_S
-            ):
-                await exchange.send_response(
-                    outcome.status, outcome.headers, outcome.body
-                )
-            state.log.write(
-                EventCode.request_answered,
-                request=in_flight.call.request_id,
-                status=outcome.status,
-                sent=in_flight.n_sent,
-                left_s=round(time_left_s(in_flight), 3),
-            )
-        else:
-            await reject_after_fault(state, in_flight, exchange, outcome)
+    hold = ByteHold(state.body_budget)
+    try:
+        with trio.CancelScope(shield=is_shielded):
+            outcome = await _try_upstreams(state, in_flight, hold)
+            if isinstance(outcome, _CompleteResponse):
+                await _deliver(state, in_flight, exchange, outcome)
+            else:
+                await reject_after_fault(state, in_flight, exchange, outcome)
+    finally:
+        release_hold(hold)
+
+
+async def _deliver(
+    state: NodeState,
+    in_flight: InFlightRequest,
+    exchange: ClientExchange,
+    response: _CompleteResponse,
+) -> None:
+    """Send a response, also after the deadline.
+
+    A client behind a slow link may still be reading.
+    """
+    with trio.move_on_after(max(0, time_left_s(in_flight)) + _LATE_DELIVERY_S):
+        await exchange.send_response(
+            response.status, response.headers, response.body
+        )
+    state.log.write(
+        EventCode.request_answered,
+        request=in_flight.call.request_id,
+        status=response.status,
+        sent=in_flight.n_sent,
+        left_s=round(time_left_s(in_flight), 3),
+    )
 
 
 async def _try_upstreams(
-    state: NodeState, in_flight: InFlightRequest
+    state: NodeState, in_flight: InFlightRequest, hold: ByteHold
 ) -> _CompleteResponse | AttemptFault:
     best: _CompleteResponse | AttemptFault = AttemptFault(
         FaultKind.not_sent, 'no upstream available'
@@ -98,7 +112,7 @@
         if upstream is None:
             break
         try:
-            outcome = await _run_attempt(state, in_flight, upstream)
+            outcome = await _run_attempt(state, in_flight, upstream, hold)
             await check_for_crash(state, in_flight, upstream, outcome)
         finally:
             end_attempt(state, in_flight, upstream)
@@ -143,7 +157,10 @@
 
 
 async def _run_attempt(
-    state: NodeState, in_flight: InFlightRequest, upstream: ListedUpstream
+    state: NodeState,
+    in_flight: InFlightRequest,
+    upstream: ListedUpstream,
+    hold: ByteHold,
 ) -> _CompleteResponse | AttemptFault:
     left_s = time_left_s(in_flight)
     metadata = ForwardMetadata(
@@ -162,7 +179,7 @@
             partial(can_retry_now, state, in_flight),
         ),
         upstream,
-        partial(_open_and_read, state, in_flight, upstream, metadata),
+        partial(_open_and_read, state, in_flight, upstream, metadata, hold),
     )
     in_flight.n_sent += _is_sent(outcome)
     elapsed_s = trio.current_time() - sent_s
@@ -178,12 +195,13 @@
     in_flight: InFlightRequest,
     upstream: ListedUpstream,
     metadata: ForwardMetadata,
+    hold: ByteHold,
 ) -> _CompleteResponse | AttemptFault:
     opened = await open_attempt(state, in_flight.call, metadata, upstream)
     if isinstance(opened, AttemptFault):
         return opened
     try:
-        body = await read_body(opened.connection, _MAX_ANSWER_BYTES)
+        body = await read_body(opened.connection, _MAX_ANSWER_BYTES, hold)
     finally:
         opened.connection.abort()
     if isinstance(body, ReadFault):
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass, field
 
 import trio
-from turmericcrank_core.byte_budget import ByteBudget
 from turmericcrank_core.cluster_clock import ClusterClock, read_cluster_clock_s
 from turmericcrank_core.crash_blocks import CrashGuard
 from turmericcrank_core.gossip_topology import GossipPlan
+from turmericcrank_core.inbound import ByteBudget, SharedPace
 from turmericcrank_core.membership import Membership, Peer
 from turmericcrank_core.model_escalation import FirstEventForecast
 from turmericcrank_core.peer_loads import PeerLoads
@@ -129,8 +129,9 @@
     incarnation: str
     random_source: random.Random
     metrics: RouterMetrics
-    # Written by request_reading and client_connection.
+    # Written by request_reading, client_connection and the calls.
     body_budget: ByteBudget
+    shared_pace: SharedPace = field(default_factory=SharedPace)
     # Written by table_watch; the staleness of the tables also by gossip_merge.
     table: RouteTable | None = None
     configuration_staleness: TableStaleness = field(
--- a/packages/node/src/turmericcrank_node/store_connection.py
+++ b/packages/node/src/turmericcrank_node/store_connection.py
@@ -22,7 +22,7 @@
 
 _CONNECT_TIMEOUT_S = 0.5
 _RESPONSE_TIMEOUT_S = 1.5
-_MAX_BODY_BYTES = 0x2000000
+_MAX_BODY_BYTES = 0x800000
 
 
 @dataclass(slots=True, frozen=True)
@@ -110,4 +110,4 @@
     response_body = await read_body(connection, _MAX_BODY_BYTES)
     if isinstance(response_body, ReadFault):
         return StoreUnavailable(response_body.value)
-    return StoreResponse(head.status, head.headers, response_body)
+    return StoreResponse(head.status, head.headers, bytes(response_body))
--- a/tests/core/test_sse.py
+++ b/tests/core/test_sse.py
@@ -1,9 +1,13 @@
 """Tests of splitting a stream into complete events."""
 
+import time
+
 from hypothesis import given
 from hypothesis import strategies as st
 from turmericcrank_core.sse import EventSplitter, split_events
 
+# 1 MiB searched once takes some hundredths of a second.
+_MAX_SEARCH_S = 1.0
 _lines = st.text('abc:', min_size=1, max_size=8).map(str.encode)
 
 
@@ -41,3 +45,13 @@
 def test_carriage_returns_end_events_too():
     events = split_events(EventSplitter(), b'id: 7\r\ndata: a\r\n\r\n')
     assert events[0].event_id == '7'
+
+
+def test_an_endless_event_is_searched_once():
+    """Each part was searched together with all that came before it."""
+    splitter = EventSplitter()
+    began_s = time.process_time()
+    for _ in range(4096):
+        assert not split_events(splitter, b'data: x\n' * 32)
+    assert time.process_time() - began_s < _MAX_SEARCH_S
+    assert len(split_events(splitter, b'\n')) == 1
--- a/tests/serving/test_request_bodies.py
+++ b/tests/serving/test_request_bodies.py
@@ -4,8 +4,8 @@
 
 import trio
 import trio.testing
-from turmericcrank_core.byte_budget import ByteBudget
 from turmericcrank_core.codes import ResultCode
+from turmericcrank_core.inbound import ByteBudget
 from turmericcrank_core.routing import CallKind, ClientLimits
 
 from tests.router_builders import HOST, KEY, make_route, make_table
