Divide the retry budget by all nodes known within two hours

Callers would see: while two groups of nodes hear nothing of each other for over a minute, as regions may for an hour, a service gets up to twice the retries that the site allows. Change: the divisor counts the nodes known within two hours. The ring that assigns permits and tests is as before. Ruled out: to keep forgotten nodes in the ring too; the permits of each VM that is replaced would be lost for two hours. Costs: after VMs were replaced under new ids, a node uses a smaller fixed part for two hours; the part by first attempts is as before. Left: a node that starts during such a cut knows its own half only.

--- a/packages/core/src/turmericcrank_core/sharing_nodes.py
+++ b/packages/core/src/turmericcrank_core/sharing_nodes.py
@@ -4,16 +4,18 @@
 must not grow when nodes lose sight of each other, since those that are out of
 sight may still use theirs. So a node that stops responding keeps its part for
 as long as it is remembered, and a node that hears nobody keeps to the part
-that it had.
+that it had. Two groups of nodes that are cut off from each other may be so for
+an hour; what can be divided is divided by all nodes known within that time.
 """
 
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from turmericcrank_core.hash_ring import HashRing, build_hash_ring
 
 __all__ = (
     'SharingNodes',
+    'count_recent_nodes',
     'find_sharing_ring',
     'is_refresh_due',
     'update_sharing_nodes',
@@ -21,6 +23,8 @@
 
 _REFRESH_INTERVAL_S = 1
 _POINTS_PER_NODE = 16
+# Longer than regions lose each other.
+_RECENT_S = 7200
 
 
 @dataclass(slots=True)
@@ -33,12 +37,14 @@
         ring_ids: Nodes for which the ring was built.
         checked_s: When they were last compared with the known nodes, in
             seconds.
+        known_s_by_id: When each node was last known, in seconds.
     """
 
     node_ids: frozenset[str] = frozenset()
     ring: HashRing = HashRing()
     ring_ids: frozenset[str] = frozenset()
     checked_s: float = 0
+    known_s_by_id: dict[str, float] = field(default_factory=dict)
 
 
 def update_sharing_nodes(
@@ -57,6 +63,7 @@
         now_s: Current time, in seconds.
     """
     sharing.checked_s = now_s
+    _remember_nodes(sharing, node_ids, now_s)
     if sharing.node_ids == node_ids or (is_isolated and sharing.node_ids):
         return
     sharing.node_ids = frozenset(node_ids)
@@ -71,9 +78,28 @@
     return not sharing.node_ids or age_s >= _REFRESH_INTERVAL_S
 
 
+def count_recent_nodes(sharing: SharingNodes) -> int:
+    """Return the number of nodes known within the last two hours."""
+    return len(sharing.known_s_by_id)
+
+
 def find_sharing_ring(sharing: SharingNodes) -> HashRing:
     """Return the ring of the nodes, built when it is first needed."""
     if sharing.ring_ids != sharing.node_ids:
         sharing.ring_ids = sharing.node_ids
         sharing.ring = build_hash_ring(sharing.ring_ids, _POINTS_PER_NODE)
     return sharing.ring
+
+
+def _remember_nodes(
+    sharing: SharingNodes, node_ids: Collection[str], now_s: float
+) -> None:
+    known = sharing.known_s_by_id
+    known.update(dict.fromkeys(node_ids, now_s))
+    expired = [
+        node_id
+        for node_id, known_s in known.items()
+        if now_s - known_s > _RECENT_S
+    ]
+    for node_id in expired:
+        known.pop(node_id)
--- a/packages/node/src/turmericcrank_node/upstreams/retry_permits.py
+++ b/packages/node/src/turmericcrank_node/upstreams/retry_permits.py
@@ -7,6 +7,7 @@
     count_retries_left,
     record_retry,
 )
+from turmericcrank_core.sharing_nodes import count_recent_nodes
 
 from turmericcrank_node.membership.limit_shares import (
     is_member_for,
@@ -57,7 +58,7 @@
         first_attempts=window.first_attempts_by_s.total(),
         retries=window.retries_by_s.total(),
         slack=round(_plan_slack(state), 2),
-        nodes=len(state.sharing_nodes.node_ids),
+        nodes=count_recent_nodes(state.sharing_nodes),
     )
     return is_allowed
 
@@ -79,10 +80,12 @@
 def _plan_slack(state: NodeState) -> float:
     """Return this node's part of the fixed part of the site's retry budget.
 
-    It is divided among all nodes. A node that started within the window gets
-    nothing of it, as the process before it may have used its part.
+    It is divided among all nodes that were known lately. A node that started
+    within the window gets nothing of it, as the process before it may have
+    used its part.
     """
     bounds = state.settings.bounds
     if not is_member_for(state, bounds.retry_window_s):
         return 0
-    return bounds.retry_slack / len(refresh_sharing_nodes(state).node_ids)
+    n_nodes = count_recent_nodes(refresh_sharing_nodes(state))
+    return bounds.retry_slack / n_nodes
--- a/tests/gossip_simulation.py
+++ b/tests/gossip_simulation.py
@@ -89,11 +89,16 @@
 
 @dataclass(eq=False, repr=False)
 class GossipSimulation:
-    """All nodes and the messages that they have sent."""
+    """All nodes and the messages that they have sent.
+
+    Nodes of different ``groups`` (ids of nodes) lose all messages to each
+    other; without groups none are lost that way.
+    """
 
     by_address: dict[str, SimulatedNode]
     seeds: list[str]
     loss_rate: float = 0
+    groups: tuple = ()
     sent: list = field(default_factory=list)
     rng: random.Random = field(default_factory=lambda: random.Random(1))
 
@@ -166,6 +171,12 @@
         node.is_round = True
         node.outbox = iter_round_messages(node.state, node.gossip, self.now_s)
 
+    def _is_cut(self, sender, receiver):
+        return any(
+            (sender.node_id in group) != (receiver.node_id in group)
+            for group in self.groups
+        )
+
     def _deliver(self, sender, address, message):
         raw = pack_gossip(message)
         receiver = self.by_address.get(address)
@@ -175,6 +186,8 @@
         self.sent.append(SentMessage(sender, receiver, len(raw), self.now_s))
         if receiver is None or self.rng.random() < self.loss_rate:
             return
+        if self._is_cut(sender, receiver):
+            return
         message = unpack_gossip(raw)
         receive_message(receiver.state, receiver.gossip, message, self.now_s)
 
--- a/tests/membership/test_retry_shares.py
+++ b/tests/membership/test_retry_shares.py
@@ -90,3 +90,12 @@
     simulation.loss_rate = 1
     simulation.run(90)
     assert _retry_all([node]) <= _SLACK / 7
+
+
+def test_budget_halves_that_lose_each_other_for_minutes_keep_the_sum():
+    """Each half forgot the other after a minute, and took its parts."""
+    simulation = _start(8)
+    half = {node.node_id for node in simulation.nodes[:4]}
+    simulation.groups = (half,)
+    simulation.run(90)
+    assert 8 <= _retry_all(simulation.nodes) <= _SLACK
