Show that halves cut off for minutes exceed a limit that an upstream names

Not mended: to keep silent nodes in the ring for long would lose the permits of every VM that is replaced; it needs a list of nodes that tells a loss from a cut.

--- a/tests/membership/test_request_limits.py
+++ b/tests/membership/test_request_limits.py
@@ -204,3 +204,17 @@
         simulation, 'u0', _KEPT_FROM_S, simulation.now_s
     )
     assert 0 < n_most <= allowed_in_window(limit_per_s)
+
+
+def test_limit_halves_that_lose_each_other_for_minutes_keep_the_sum():
+    """Each half forgets the other after a minute, and takes its parts."""
+    n_by_data_centre = _SMALL[0]
+    simulation = start_limit_simulation(
+        n_by_data_centre, 6, 120, _limit_some(8.0)
+    )
+    _play(simulation, 6)
+    north = {f'north-{number}' for number in range(3)}
+    simulation.gossip.groups = (north,)
+    _play(simulation, 80)
+    most = _most(simulation)
+    assert most <= allowed_in_window(8.0)
