Send brittle upstreams no more than they have room for

Cause: the statement was not read; at a little over capacity each request was rejected by one upstream after the other, and retries made up most of that. Ruled out: a rate by permits (needs the time of a request, which depends on the load); the numbers that nodes report (seconds old). What finds no room goes elsewhere or is rejected at once.

--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -63,6 +63,7 @@
     tunnel_used = 617
     tunnel_failed = 618
     tunnel_served = 619
+    upstream_brittle = 620
     draft_kept = 700
     draft_taken = 701
     draft_finished = 702
--- a/packages/core/src/turmericcrank_core/upstream_notices.py
+++ b/packages/core/src/turmericcrank_core/upstream_notices.py
@@ -2,9 +2,10 @@
 
 A draining upstream announces this in each response, so a node learns of it
 earlier than from the platform's list of upstreams. An overloaded upstream may
-name a time during which the requesting node should send it no requests. The
-first signal concerns all nodes and is gossiped; the second concerns this node
-only.
+name a time during which the requesting node should send it no requests. A
+brittle one names how many rejections a second it bears, in all its responses.
+The first signal concerns all nodes and is gossiped; the others are known to the
+nodes that got them.
 """
 
 from collections.abc import Collection, Iterator, Mapping
@@ -16,14 +17,17 @@
     'UpstreamNotices',
     'defer_upstream',
     'expire_notices',
+    'find_brittle',
     'is_leaving',
     'iter_leaving_upstreams',
+    'record_brittle',
     'record_leaving',
     'remaining_deferral_s',
 )
 
 _MAX_DEFERRAL_S = 60
 _ANNOUNCEMENT_RETENTION_S = 120
+_BRITTLE_RETENTION_S = 10
 
 
 @dataclass(slots=True, frozen=True)
@@ -41,6 +45,19 @@
     received_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class BrittleNotice:
+    """Statement of an upstream that it is brittle.
+
+    Attributes:
+        max_rejections_per_s: Rejections a second after which it falls over.
+        received_s: Time of its last response, in seconds.
+    """
+
+    max_rejections_per_s: float
+    received_s: float
+
+
 @dataclass(slots=True)
 class UpstreamNotices:
     """Signals received from upstreams.
@@ -50,12 +67,14 @@
             a response or from another node.
         deferred_until_s_by_id: Time until which this node should send no
             requests to an upstream, in seconds.
+        brittle_by_id: Statements of brittle upstreams.
     """
 
     announcements_by_id: dict[str, DrainAnnouncement] = field(
         default_factory=dict
     )
     deferred_until_s_by_id: dict[str, float] = field(default_factory=dict)
+    brittle_by_id: dict[str, BrittleNotice] = field(default_factory=dict)
 
 
 def record_leaving(
@@ -124,6 +143,45 @@
     return max(0, until_s - now_s)
 
 
+def record_brittle(
+    notices: UpstreamNotices,
+    upstream_id: str,
+    max_per_s: float | None,
+    now_s: float,
+) -> bool:
+    """Record what a response says of its upstream.
+
+    Args:
+        notices: Changed in place.
+        upstream_id: Upstream that responded.
+        max_per_s: Rejections a second that it bears; None if it is not
+            brittle.
+        now_s: Current time, in seconds.
+
+    Returns:
+        Whether it has become brittle, or is so no longer.
+    """
+    before = find_brittle(notices, upstream_id, now_s)
+    notices.brittle_by_id.pop(upstream_id, None)
+    if max_per_s is not None:
+        notices.brittle_by_id[upstream_id] = BrittleNotice(max_per_s, now_s)
+    return (before is None) != (max_per_s is None)
+
+
+def find_brittle(
+    notices: UpstreamNotices, upstream_id: str, now_s: float
+) -> BrittleNotice | None:
+    """Return the last statement of a brittle upstream; None if it is sound.
+
+    A node that gets no responses from it does not learn of its end, so a
+    statement counts for a few seconds only.
+    """
+    notice = notices.brittle_by_id.get(upstream_id)
+    if notice is None or now_s - notice.received_s > _BRITTLE_RETENTION_S:
+        return None
+    return notice
+
+
 def expire_notices(
     notices: UpstreamNotices, listed_ids: Collection[str], now_s: float
 ) -> None:
@@ -137,6 +195,11 @@
         for upstream_id, until_s in notices.deferred_until_s_by_id.items()
         if until_s > now_s
     }
+    notices.brittle_by_id = {
+        upstream_id: notice
+        for upstream_id, notice in notices.brittle_by_id.items()
+        if now_s - notice.received_s <= _BRITTLE_RETENTION_S
+    }
     notices.announcements_by_id = {
         upstream_id: announcement
         for upstream_id, announcement in notices.announcements_by_id.items()
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -186,6 +186,8 @@
             from this node, in seconds; None if not stated.
         request_limit_per_s: Requests per second that the upstream accepts
             from all nodes together; None if it names no limit.
+        max_rejections_per_s: Rejections a second after which the upstream
+            falls over; None if it is not brittle.
         headers: Headers that are forwarded to the client.
     """
 
@@ -196,6 +198,7 @@
     is_leaving: bool = False
     retry_after_s: float | None = None
     request_limit_per_s: float | None = None
+    max_rejections_per_s: float | None = None
     headers: Headers = field(default_factory=list)
 
 
--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -23,6 +23,7 @@
     ResponseInfo,
 )
 from turmericcrank_node.state.node_state import NodeState, read_boottime_s
+from turmericcrank_node.upstreams.brittle_upstreams import process_brittleness
 from turmericcrank_node.upstreams.request_limits import process_request_limit
 from turmericcrank_node.upstreams.upstream_access import connect_to_upstream
 
@@ -195,6 +196,8 @@
     if response_info.request_id and response_info.request_id != call.request_id:
         return AttemptFault(FaultKind.unknown, 'response to another request')
     _process_notices(state, upstream, response_info)
+    if head.status != HTTPStatus.MISDIRECTED_REQUEST:
+        process_brittleness(state, upstream.upstream_id, response_info)
     process_request_limit(
         state, upstream.upstream_id, head.status, response_info
     )
--- a/packages/node/src/turmericcrank_node/upstreams/upstream_selection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/upstream_selection.py
@@ -20,6 +20,7 @@
 
 from turmericcrank_node.control.version_evidence import count_version_responses
 from turmericcrank_node.state.node_state import NodeState, read_boottime_s
+from turmericcrank_node.upstreams.brittle_upstreams import has_slot
 from turmericcrank_node.upstreams.request_limits import (
     has_permit,
     plan_permit_wait_s,
@@ -153,14 +154,17 @@
 ) -> Iterator[ListedUpstream]:
     """Yield the listed upstreams that may get a request from this node now.
 
-    They are neither draining nor deferred, nor at their request limit.
+    They are neither draining nor deferred, nor at their request limit, nor
+    brittle and at this node's share of their slots.
     """
     notices = state.notices
     for upstream in iter_usable(state.upstream_registry, service, now_s):
         wait_s = remaining_deferral_s(notices, upstream.upstream_id, now_s)
         if wait_s > 0 or is_leaving(notices, upstream):
             continue
-        if has_permit(state, upstream.upstream_id):
+        if has_permit(state, upstream.upstream_id) and has_slot(
+            state, upstream
+        ):
             yield upstream
 
 
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -144,6 +144,7 @@
     confidence = find_header(headers, b'confidence')
     wait = find_header(headers, b'retry-after')
     limit = find_header(headers, b'limit')
+    brittle = find_header(headers, b'brittle')
     return ResponseInfo(
         request_id=find_header(headers, b'id'),
         is_signed=bool(find_header(headers, b'signed')),
@@ -152,6 +153,7 @@
         is_leaving=bool(find_header(headers, b'leaving')),
         retry_after_s=float(wait) if wait else None,
         request_limit_per_s=float(limit) if limit else None,
+        max_rejections_per_s=float(brittle) if brittle else None,
         headers=[
             pair
             for pair in headers
