Count as unknown also a claim that the killed node did not learn of

Cause: in 2 of 30 demos beside load the killed node's claim had been written but its log had no line of it: other nodes met the claim in the store (event 301) and none of them had won it. Ruled out: a claim of a living node (their logs show none for that key). Change: unknown is what was told 4001, what no living node won and the killed node did not keep; all else stays lost. An incomplete last line is left out.

--- a/packages/dev/src/turmericcrank_dev/demo.py
+++ b/packages/dev/src/turmericcrank_dev/demo.py
@@ -37,6 +37,7 @@
 _BILL_LIMIT_S = 10
 _OUTAGE_S = 3
 _KILLED_NODE = 'n2'
+_LIVING_NODES = ('n1', 'n3')
 
 
 @dataclass(slots=True)
@@ -209,7 +210,11 @@
 
 def _report(demo: DemoSite, record: TrafficRecord, problems: list[str]) -> int:
     unknown = find_unknown(
-        record.outcomes, demo.site.log_path(_KILLED_NODE).read_text()
+        record.outcomes,
+        *(
+            demo.site.log_path(name).read_text(encoding='utf-8')
+            for name in (_KILLED_NODE, *_LIVING_NODES)
+        ),
     )
     run_counts = count_all(demo.site, demo.service_port, record, unknown)
     for version, count in sorted(run_counts.versions.items()):
--- a/packages/dev/src/turmericcrank_dev/demo_counts.py
+++ b/packages/dev/src/turmericcrank_dev/demo_counts.py
@@ -40,30 +40,37 @@
 
 
 def find_unknown(
-    outcomes: dict[str, Outcome], killed_node_log: str
+    outcomes: dict[str, Outcome], killed_node_log: str, *other_logs: str
 ) -> frozenset[str]:
     """Return the bookings that the killed node may or may not have run.
 
-    Their client was told so, and the log of the node shows that it won the
-    claim and did not come to keep an answer.
+    Their client was told so, no other node won the claim, and the killed node
+    did not come to keep an answer. It may have been killed before it learned
+    that its claim was written.
 
     Args:
         outcomes: Result of each request, by request name.
         killed_node_log: Log of the killed node.
+        *other_logs: Logs of the other nodes.
     """
-    events = [json.loads(line) for line in killed_node_log.splitlines()]
-    won = _list_claims(events, EventCode.claim_won)
-    unkept = won - _list_claims(events, EventCode.answer_kept)
+    settled = _list_claims(killed_node_log, EventCode.answer_kept)
+    for log in other_logs:
+        settled |= _list_claims(log, EventCode.claim_won)
     return frozenset(
         name
         for name, outcome in outcomes.items()
         if outcome.code == ResultCode.outcome_unknown
-        and name.removeprefix('booking ') in unkept
+        and name.removeprefix('booking ') not in settled
     )
 
 
-def _list_claims(events: list[dict[str, Any]], code: EventCode) -> set[str]:
-    """Return the names of the bookings whose claims have an event."""
+def _list_claims(log: str, code: EventCode) -> set[str]:
+    """Return the names of the bookings whose claims have an event.
+
+    The last line of a log that is being written may not be complete.
+    """
+    complete = log.rpartition('\n')[0]
+    events = (json.loads(line) for line in complete.splitlines())
     return {
         event['claim'].rpartition('key-')[2]
         for event in events
