--- a/tests/core/test_upstream_notices.py
+++ b/tests/core/test_upstream_notices.py
@@ -9,8 +9,10 @@
     UpstreamNotices,
     defer_upstream,
     expire_notices,
+    find_brittle,
     is_leaving,
     iter_leaving_upstreams,
+    record_brittle,
     record_leaving,
     remaining_deferral_s,
 )
@@ -143,3 +145,17 @@
     assert served >= 0.8 * min(1, load)
     assert served >= 0.8 * served_without
     assert rejections <= rejections_without
+
+
+def test_a_brittle_upstream_is_so_until_it_says_otherwise_or_nothing():
+    notices = UpstreamNotices()
+    assert record_brittle(notices, 'u1', 20, 0.0)
+    assert not record_brittle(notices, 'u1', 20, 1.0)
+    assert find_brittle(notices, 'u1', 9.0)
+    assert not find_brittle(notices, 'u1', 12.0)
+    assert record_brittle(notices, 'u1', 20, 13.0)
+    assert record_brittle(notices, 'u1', None, 14.0)
+    assert not find_brittle(notices, 'u1', 14.0)
+    record_brittle(notices, 'u2', 20, 14.0)
+    expire_notices(notices, {'u2'}, 30.0)
+    assert not notices.brittle_by_id
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -206,10 +206,13 @@
         (b'', None),
     ],
 )
-def test_a_response_names_a_request_limit_or_none(text, limit_per_s):
+def test_a_response_names_limits_or_none(text, limit_per_s):
     head = decode_response_head(200, [(b'server-limit', text)])
     assert head.request_limit_per_s == limit_per_s
     assert decode_response_head(200, []).request_limit_per_s is None
+    head = decode_response_head(200, [(b'server-brittle', text)])
+    assert head.max_rejections_per_s == limit_per_s
+    assert decode_response_head(200, []).max_rejections_per_s is None
 
 
 @pytest.mark.parametrize(
