Bound the log lines that wait while nobody reads standard output

What callers would see: a node whose output nobody reads grows until it is ended for memory, and requests on its connections end with it (LOST). Cause: `flush` joined all that could not be written into one line, and the bound counts lines; so the queue held 2,000 lines more after each flush. Ruled out: as the users' case itself; at the rate below it takes some 20 minutes to reach 150 MB (worked out, not run). Change: what could not be written is kept as separate lines, which the bound counts. Conclusion: the memory of unread lines is bounded by their number.

--- a/packages/node/src/turmericcrank_node/event_log.py
+++ b/packages/node/src/turmericcrank_node/event_log.py
@@ -131,8 +131,8 @@
             n_written = os.write(_STDOUT, raw)
         except OSError:
             n_written = 0
-        if n_written < len(raw):
-            lines.append(raw[n_written:])
+        # Separate lines, as the bound of the queue counts them.
+        lines.extend(raw[n_written:].splitlines(keepends=True))
 
     def _consume_budget(self, event: EventCode) -> bool:
         queue = self._queue
