Count the time of sending only where it is known, and no response as none

A response that was begun is no loss of a kept connection: the line says without an answer. By the time of sending, a request counts only if the time is known of each arrival; before, times of reading took its place.

--- a/tests/soak/test_judge_budget.py
+++ b/tests/soak/test_judge_budget.py
@@ -99,6 +99,8 @@
 def test_time_of_repeats_that_are_read_late():
     """By the time of sending, what was sent in time is right."""
     run = _make_late_repeats(30, 0, handed_s=100.2)
+    for arrival in run.arrivals[:30]:
+        arrival.handed_s = 100
     lines = _find_lines(run)
     assert _TIME in lines
     assert _TIME_SENT not in lines
@@ -107,6 +109,15 @@
     assert _TIME_CONNECTED not in _find_lines(run)
 
 
+def test_time_of_repeats_that_are_sent_late():
+    """By the time of sending only what is known of each arrival counts."""
+    run = _make_late_repeats(30, 0, handed_s=101.9)
+    assert _TIME_SENT not in _find_lines(run)
+    for arrival in run.arrivals[:30]:
+        arrival.handed_s = 99.9
+    assert _TIME_SENT in _find_lines(run)
+
+
 def test_time_of_first_arrivals():
     """No deadline, or one over 0.5 s longer than the client's, counts."""
     for deadline_s, n_long in ((None, 21), (12.6, 21), (12.4, 0)):
@@ -125,6 +136,9 @@
 def test_time_of_streams_and_of_nodes_out_of_touch(moment):
     """Neither counts."""
     run = _make_late_repeats(30, 0)
+    for arrival in run.arrivals:
+        arrival.handed_s = arrival.read_s
+    assert find_time_handed(run, moment).too_long
     run.node_events.append(make_node_event(99.5, NodeEventKind.term))
     assert not find_time_handed(run, moment).too_long
     run = _make_late_repeats(30, 0)
--- a/tests/soak/test_judge_lost.py
+++ b/tests/soak/test_judge_lost.py
@@ -58,6 +58,14 @@
     assert not _find_lines(new)
 
 
+def test_kept_connections_with_incomplete_responses():
+    """A response that was begun is one; only its end is missing."""
+    run = _make_kept(4)
+    for request in run.requests:
+        request.status = 200
+    assert not _find_lines(run)
+
+
 @pytest.mark.parametrize(
     'kind', [UpstreamEventKind.reset, UpstreamEventKind.paused]
 )
