Log how a drain ends, and idle connections closed with unread bytes

Cause of the gap: a client whose connection ended at a drain left no trace. It could not be told whether its request had arrived, whether requests were left when the drain ended, or how late a step was. Change: 107 drain_ended (requests in flight and being read, open connections, length, lateness), `late_s` in 103, 214 connection_discarded (cause and number of bytes). Counts only; writing stays bounded and never blocks.

--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -17,6 +17,7 @@
     node_stopped = 104
     settings_reloaded = 105
     lines_left_out = 106
+    drain_ended = 107
     request_received = 200
     request_sent = 201
     request_answered = 202
@@ -31,6 +32,7 @@
     stream_broken = 211
     attempt_ended = 212
     retry_refused = 213
+    connection_discarded = 214
     claim_won = 300
     claim_conflict = 301
     claim_undecided = 302
--- a/packages/core/src/turmericcrank_core/inbound/__init__.py
+++ b/packages/core/src/turmericcrank_core/inbound/__init__.py
@@ -9,6 +9,7 @@
     release_hold,
     reserve_bytes,
 )
+from turmericcrank_core.inbound.connection_counts import ConnectionCounts
 from turmericcrank_core.inbound.read_pace import (
     ReadPace,
     SharedPace,
@@ -18,6 +19,7 @@
 __all__ = (
     'ByteBudget',
     'ByteHold',
+    'ConnectionCounts',
     'ReadPace',
     'SharedPace',
     'hold_bytes',
--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -106,6 +106,8 @@
         lambda: state.is_stopping,
         state.closing,
         state.body_budget,
+        state.connections,
+        partial(_log_discarded, state),
     )
     async with trio.open_nursery() as nursery:
         listeners = await trio.open_tcp_listeners(
@@ -129,6 +131,12 @@
         stream.socket.close()
 
 
+def _log_discarded(state: NodeState, cause: str, n_bytes: int) -> None:
+    state.log.write(
+        EventCode.connection_discarded, cause=cause, n_bytes=n_bytes
+    )
+
+
 async def _drain_on_signal(state: NodeState) -> None:
     """Wait for a termination signal, then drain the node."""
     with trio.open_signal_receiver(
@@ -198,7 +206,11 @@
     await trio.sleep(_REJECT_DELAY_S)
     state.is_rejecting_requests = True
     state.closing.set()
-    state.log.write(EventCode.drain_left_addresses, n_requests=state.n_requests)
+    state.log.write(
+        EventCode.drain_left_addresses,
+        n_requests=state.n_requests,
+        late_s=_late_s(drain_began_s + _REJECT_DELAY_S),
+    )
     deadline_s = drain_began_s + state.settings.bounds.grace_s - _KILL_MARGIN_S
     idle_since_s = trio.current_time()
     while trio.current_time() < deadline_s:
@@ -207,3 +219,16 @@
             idle_since_s = trio.current_time()
         elif trio.current_time() - idle_since_s > 1:
             break
+    state.log.write(
+        EventCode.drain_ended,
+        n_requests=state.n_requests,
+        n_reading=state.connections.n_reading,
+        n_connections=state.connections.n_open,
+        length_s=round(trio.current_time() - drain_began_s, 3),
+        late_s=_late_s(deadline_s),
+    )
+
+
+def _late_s(planned_s: float) -> float:
+    """Return how long ago a step was due; 0 if it is early."""
+    return round(max(0, trio.current_time() - planned_s), 3)
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -37,10 +37,14 @@
         h11.SERVER, max_incomplete_event_size=limits.header_bytes
     )
     connection = ClientConnection(stream, parser)
-    with stream.socket:
-        while await _serve_next_request(handlers, connection):
-            connection.parser.start_next_cycle()
-        await _close_gracefully(connection)
+    handlers.counts.n_open += 1
+    try:
+        with stream.socket:
+            while await _serve_next_request(handlers, connection):
+                connection.parser.start_next_cycle()
+            await _close_gracefully(handlers, connection)
+    finally:
+        handlers.counts.n_open -= 1
 
 
 async def _serve_next_request(
@@ -107,7 +111,9 @@
         n_bytes += len(received)
 
 
-async def _close_gracefully(connection: ClientConnection) -> None:
+async def _close_gracefully(
+    handlers: ConnectionHandlers, connection: ClientConnection
+) -> None:
     """Close the sending side, then discard incoming bytes for a short time.
 
     Closing a socket with unread bytes sends a TCP reset, which may discard a
@@ -115,10 +121,15 @@
     """
     if connection.stream.socket.fileno() < 0:
         return
+    n_bytes = 0
     try:
         await connection.stream.send_eof()
         with trio.move_on_after(_CLOSE_WAIT_S):
-            while await connection.stream.receive_some(READ_BYTES):
+            while part := await connection.stream.receive_some(READ_BYTES):
+                n_bytes += len(part)
                 await trio.lowlevel.checkpoint()
     except CONNECTION_ERRORS:
         return
+    finally:
+        if connection.idle_end and n_bytes:
+            handlers.report_discarded(connection.idle_end, n_bytes)
--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -7,7 +7,11 @@
 
 import h11
 import trio
-from turmericcrank_core.inbound import ByteBudget, reserve_bytes
+from turmericcrank_core.inbound import (
+    ByteBudget,
+    ConnectionCounts,
+    reserve_bytes,
+)
 from turmericcrank_core.routing import ClientLimits
 
 from turmericcrank_node.http_connection import (
@@ -65,6 +69,9 @@
             response.
         closing: Set when idle connections must be closed.
         body_budget: Room for the bodies of all connections.
+        counts: Open connections of the node.
+        report_discarded: Reports why an idle connection was closed, and how
+            many bytes were then discarded, if any.
     """
 
     handle_request: RequestHandler
@@ -73,6 +80,8 @@
     is_closing: Callable[[], bool]
     closing: trio.Event
     body_budget: ByteBudget
+    counts: ConnectionCounts
+    report_discarded: Callable[[str, int], None]
 
 
 @dataclass(slots=True)
@@ -84,12 +93,15 @@
         parser: HTTP protocol state.
         pipelined: Bytes received while a request was being handled.
         reserved_bytes: Bytes that the body of the current request reserved.
+        idle_end: Why the connection is closed though no request was read:
+            ``drain`` or ``idle timeout``; empty in any other case.
     """
 
     stream: trio.SocketStream
     parser: h11.Connection
     pipelined: list[bytes] = field(default_factory=list)
     reserved_bytes: int = 0
+    idle_end: str = ''
 
 
 async def read_request(
@@ -103,6 +115,18 @@
         )
         if not has_received:
             return None
+    handlers.counts.n_reading += 1
+    try:
+        return await _read_message(handlers, connection)
+    finally:
+        handlers.counts.n_reading -= 1
+
+
+async def _read_message(
+    handlers: ConnectionHandlers, connection: ClientConnection
+) -> ClientRequest | None:
+    """Read a request that has begun; None if it is incomplete."""
+    limits = handlers.limits()
     try:
         head = await _read_event(connection, limits.header_s)
         if isinstance(head, h11.Request):
@@ -242,7 +266,7 @@
     handlers: ConnectionHandlers, connection: ClientConnection, idle_s: float
 ) -> bool:
     """Wait for the first bytes of a request; False if none come."""
-    received = b''
+    received = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on, handlers.closing, nursery.cancel_scope)
         with trio.move_on_after(idle_s):
@@ -251,6 +275,9 @@
             except CONNECTION_ERRORS:
                 received = b''
         nursery.cancel_scope.cancel()
+    if received is None:
+        is_draining = handlers.closing.is_set()
+        connection.idle_end = 'drain' if is_draining else 'idle timeout'
     if received:
         connection.parser.receive_data(received)
     return bool(received)
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -11,7 +11,11 @@
 from turmericcrank_core.cluster_clock import ClusterClock, read_cluster_clock_s
 from turmericcrank_core.crash_blocks import CrashGuard
 from turmericcrank_core.gossip_topology import GossipPlan
-from turmericcrank_core.inbound import ByteBudget, SharedPace
+from turmericcrank_core.inbound import (
+    ByteBudget,
+    ConnectionCounts,
+    SharedPace,
+)
 from turmericcrank_core.membership import Membership, Peer
 from turmericcrank_core.model_escalation import FirstEventForecast
 from turmericcrank_core.peer_loads import PeerLoads
@@ -189,6 +193,8 @@
     is_stopping: bool = False
     is_rejecting_requests: bool = False
     closing: trio.Event = field(default_factory=trio.Event)
+    # Written by client_connection and request_reading.
+    connections: ConnectionCounts = field(default_factory=ConnectionCounts)
     # Written by router and tunnel_server; tunnels count as requests.
     n_requests: int = 0
     n_tunnels: int = 0
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.table_staleness import record_read
 from turmericcrank_core.upstream_registry import record_listed
 from turmericcrank_core.version_choice import record_versions
@@ -233,6 +234,10 @@
         lambda: state.is_stopping,
         state.closing,
         state.body_budget,
+        state.connections,
+        lambda cause, n_bytes: state.log.write(
+            EventCode.connection_discarded, cause=cause, n_bytes=n_bytes
+        ),
     )
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
 
--- a/tests/serving/test_drain.py
+++ b/tests/serving/test_drain.py
@@ -63,7 +63,7 @@
     assert len(steps) == 2
     names = state.log.names()
     assert names.count('drain_started') == 4
-    assert names[-1] == 'drain_left_addresses'
+    assert names[-2:] == ['drain_left_addresses', 'drain_ended']
 
 
 def test_drain_of_a_busy_node_ends_within_the_grace_period():
