Ignore SIGHUP before the modules are loaded

Callers saw: refused connections at a node that had just been started; it had ended by signal 1 and stayed away until something started it again. Cause: the entry point ignored SIGHUP in `main`, after the imports of all modules, which take about 390 ms. Ruled out: the handler of the running node; it is installed long before. Change: `__main__` ignores SIGHUP and only then loads the program (now `program.py`). What stays is the interpreter's own start, see OPERATIONS.md. Conclusion: only the standard library's `signal` is loaded before.

--- a/tests/state/test_returned_store_plays.py
+++ b/tests/state/test_returned_store_plays.py
@@ -24,7 +24,7 @@
 from turmericcrank_node.state import table_watch
 from turmericcrank_node.state.node_state import read_boottime_s
 from turmericcrank_platform import store as store_calls
-from turmericcrank_platform.__main__ import make_platform
+from turmericcrank_platform.program import make_platform
 
 from tests.gossip_builders import make_gossip_message
 from tests.returning_store import ReturningStore
