Answer requests that arrive while their idle connection is closed

Callers saw: a connection that ended without a response to a request that had been sent before the close, at a drain and at an idle timeout. Cause: when the event loop is held up, the wait for a request is cancelled though bytes are there; the connection was then closed, and the bytes were read and discarded. Ruled out: bytes lost by trio; a wait whose bytes are seen in the same turn as its end returns them. Change: when the wait ends, the socket is polled, and what has arrived is read and answered (503 while draining). If there is nothing, the sending side is closed in the same step, before any other task runs. Conclusion: between the look at the socket and the close no task can run, so a request is either answered or comes after the close.

--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -1,5 +1,8 @@
 """Reads the requests of one client connection."""
 
+import contextlib
+import select
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from http import HTTPStatus
@@ -265,17 +268,23 @@
 async def _wait_for_bytes(
     handlers: ConnectionHandlers, connection: ClientConnection, idle_s: float
 ) -> bool:
-    """Wait for the first bytes of a request; False if none come."""
+    """Wait for the first bytes of a request.
+
+    Returns:
+        False if none come. The sending side of the connection is then closed,
+        in the same step in which it is known that nothing has arrived: the
+        wait may end long after it was due, and meanwhile a request may come.
+    """
     received = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on, handlers.closing, nursery.cancel_scope)
         with trio.move_on_after(idle_s):
-            try:
-                received = await connection.stream.receive_some(READ_BYTES)
-            except CONNECTION_ERRORS:
-                received = b''
+            received = await _receive(connection)
         nursery.cancel_scope.cancel()
+    if received is None and _has_arrived(connection):
+        received = await _receive(connection)
     if received is None:
+        _end_sending(connection)
         is_draining = handlers.closing.is_set()
         connection.idle_end = 'drain' if is_draining else 'idle timeout'
     if received:
@@ -283,6 +292,27 @@
     return bool(received)
 
 
+async def _receive(connection: ClientConnection) -> bytes:
+    """Receive bytes; empty if the connection was closed or broke."""
+    try:
+        return await connection.stream.receive_some(READ_BYTES)
+    except CONNECTION_ERRORS:
+        return b''
+
+
+def _has_arrived(connection: ClientConnection) -> bool:
+    """Return whether bytes, or the end of the connection, can be read now."""
+    poll = select.poll()
+    poll.register(connection.stream.socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _end_sending(connection: ClientConnection) -> None:
+    """Close the sending side at once, without letting other tasks run."""
+    with contextlib.suppress(OSError):
+        connection.stream.socket.shutdown(socket.SHUT_WR)
+
+
 async def _cancel_on(event: trio.Event, scope: trio.CancelScope) -> None:
     await event.wait()
     scope.cancel()
