--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -1,5 +1,8 @@
 """Reads the requests of one client connection."""
 
+import contextlib
+import select
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from http import HTTPStatus
@@ -7,7 +10,11 @@
 
 import h11
 import trio
-from turmericcrank_core.inbound import ByteBudget, reserve_bytes
+from turmericcrank_core.inbound import (
+    ByteBudget,
+    ConnectionCounts,
+    reserve_bytes,
+)
 from turmericcrank_core.routing import ClientLimits
 
 from turmericcrank_node.http_connection import (
@@ -65,6 +72,9 @@
             response.
         closing: Set when idle connections must be closed.
         body_budget: Room for the bodies of all connections.
+        counts: Open connections of the node.
+        report_discarded: Reports why an idle connection was closed, and how
+            many bytes were then discarded, if any.
     """
 
     handle_request: RequestHandler
@@ -73,6 +83,8 @@
     is_closing: Callable[[], bool]
     closing: trio.Event
     body_budget: ByteBudget
+    counts: ConnectionCounts
+    report_discarded: Callable[[str, int], None]
 
 
 @dataclass(slots=True)
@@ -84,12 +96,15 @@
         parser: HTTP protocol state.
         pipelined: Bytes received while a request was being handled.
         reserved_bytes: Bytes that the body of the current request reserved.
+        idle_end: Why the connection is closed though no request was read:
+            ``drain`` or ``idle timeout``; empty in any other case.
     """
 
     stream: trio.SocketStream
     parser: h11.Connection
     pipelined: list[bytes] = field(default_factory=list)
     reserved_bytes: int = 0
+    idle_end: str = ''
 
 
 async def read_request(
@@ -103,6 +118,18 @@
         )
         if not has_received:
             return None
+    handlers.counts.n_reading += 1
+    try:
+        return await _read_message(handlers, connection)
+    finally:
+        handlers.counts.n_reading -= 1
+
+
+async def _read_message(
+    handlers: ConnectionHandlers, connection: ClientConnection
+) -> ClientRequest | None:
+    """Read a request that has begun; None if it is incomplete."""
+    limits = handlers.limits()
     try:
         head = await _read_event(connection, limits.header_s)
         if isinstance(head, h11.Request):
@@ -241,21 +268,51 @@
 async def _wait_for_bytes(
     handlers: ConnectionHandlers, connection: ClientConnection, idle_s: float
 ) -> bool:
-    """Wait for the first bytes of a request; False if none come."""
-    received = b''
+    """Wait for the first bytes of a request.
+
+    Returns:
+        False if none come. The sending side of the connection is then closed,
+        in the same step in which it is known that nothing has arrived: the
+        wait may end long after it was due, and meanwhile a request may come.
+    """
+    received = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on, handlers.closing, nursery.cancel_scope)
         with trio.move_on_after(idle_s):
-            try:
-                received = await connection.stream.receive_some(READ_BYTES)
-            except CONNECTION_ERRORS:
-                received = b''
+            received = await _receive(connection)
         nursery.cancel_scope.cancel()
+    if received is None and _has_arrived(connection):
+        received = await _receive(connection)
+    if received is None:
+        _end_sending(connection)
+        is_draining = handlers.closing.is_set()
+        connection.idle_end = 'drain' if is_draining else 'idle timeout'
     if received:
         connection.parser.receive_data(received)
     return bool(received)
 
 
+async def _receive(connection: ClientConnection) -> bytes:
+    """Receive bytes; empty if the connection was closed or broke."""
+    try:
+        return await connection.stream.receive_some(READ_BYTES)
+    except CONNECTION_ERRORS:
+        return b''
+
+
+def _has_arrived(connection: ClientConnection) -> bool:
+    """Return whether bytes, or the end of the connection, can be read now."""
+    poll = select.poll()
+    poll.register(connection.stream.socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _end_sending(connection: ClientConnection) -> None:
+    """Close the sending side at once, without letting other tasks run."""
+    with contextlib.suppress(OSError):
+        connection.stream.socket.shutdown(socket.SHUT_WR)
+
+
 async def _cancel_on(event: trio.Event, scope: trio.CancelScope) -> None:
     await event.wait()
     scope.cancel()
