Tell apart requests with one id at one upstream

Callers saw: status 500 after their request had been executed. Cause: attempts in flight at an upstream were kept by the client's request id. Of two with the same id the first to end removed the record of both, and the second raised KeyError. Ruled out: the count of running requests, which is not kept by id. Change: attempts are kept by a number of the node; the request's id is a field, for the log line of a crash. After: 200 and 200. Conclusion: nothing that a client chooses is a key any more.

--- a/packages/node/src/turmericcrank_node/serving/in_flight_request.py
+++ b/packages/node/src/turmericcrank_node/serving/in_flight_request.py
@@ -76,6 +76,7 @@
         n_sent: Attempts that reached an upstream.
         suspect: What it is blamed by if it crashes an upstream.
         is_test: Whether its next attempt tests whether it still does.
+        attempt_number: Number of its current attempt, or else the last one.
     """
 
     call: DecodedRequest
@@ -88,6 +89,7 @@
     n_sent: int = 0
     suspect: Suspect = Suspect('')
     is_test: bool = False
+    attempt_number: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -135,11 +137,11 @@
     acquire_permit(state, upstream_id)
     in_flight.tried_ids |= {upstream_id}
     in_flight.is_test = False
-    record_in_flight(
+    call = in_flight.call
+    in_flight.attempt_number = record_in_flight(
         state,
         upstream_id,
-        in_flight.call.request_id,
-        InFlightAttempt(in_flight.suspect, in_flight.call.shared_parts),
+        InFlightAttempt(in_flight.suspect, call.request_id, call.shared_parts),
     )
     running = state.running_by_id
     running[upstream_id] = running.get(upstream_id, 0) + 1
@@ -169,7 +171,7 @@
     """Remove a finished attempt from the in-flight requests of its upstream."""
     upstream_id = upstream.upstream_id
     attempts = state.attempts_by_upstream[upstream_id]
-    attempts.pop(in_flight.call.request_id, None)
+    attempts.pop(in_flight.attempt_number)
     if not attempts:
         state.attempts_by_upstream.pop(upstream_id)
     state.running_by_id[upstream_id] -= 1
--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -274,7 +274,7 @@
     if not isinstance(opened, OpenResponse):
         return opened
     in_flight.n_sent += 1
-    record_begin(state, upstream.upstream_id, in_flight.call.request_id)
+    record_begin(state, upstream.upstream_id, in_flight.attempt_number)
     progress.timing.head_s = trio.current_time() - sent_s
     progress.timing.confidence = opened.head.confidence
     state.metrics.head_s.labels(upstream.service, upstream.version).observe(
@@ -325,7 +325,7 @@
     """
     is_slow = _is_slow(state, progress.timing, upstream)
     if isinstance(outcome, Done):
-        record_response(state, upstream.upstream_id, in_flight.call.request_id)
+        record_response(state, upstream.upstream_id, in_flight.attempt_number)
     _log_attempt(state, in_flight, progress, upstream, outcome, is_slow)
     if outcome is _CLIENT_GONE or outcome is _DEADLINE:
         if is_slow:
--- a/packages/node/src/turmericcrank_node/serving/stream_relay.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_relay.py
@@ -299,7 +299,7 @@
     record_output(
         state,
         relay.upstream.upstream_id,
-        relay.in_flight.call.request_id,
+        relay.in_flight.attempt_number,
         n_events,
     )
 
--- a/packages/node/src/turmericcrank_node/serving/unary_call.py
+++ b/packages/node/src/turmericcrank_node/serving/unary_call.py
@@ -237,6 +237,6 @@
         )
         if not is_error:
             record_response(
-                state, upstream.upstream_id, in_flight.call.request_id
+                state, upstream.upstream_id, in_flight.attempt_number
             )
     record_attempt_result(state, in_flight, upstream, attempt_result)
--- a/packages/node/src/turmericcrank_node/state/in_flight_attempt.py
+++ b/packages/node/src/turmericcrank_node/state/in_flight_attempt.py
@@ -24,6 +24,8 @@
 
     Attributes:
         suspect: What the request is blamed by if it crashes the upstream.
+        request_id: Id that the client gave the request, for the log; another
+            request in flight may have the same one.
         parts: Ids of the parts of its prompt that other requests may share,
             for the log.
         has_begun: Whether the head of the response has arrived.
@@ -33,6 +35,7 @@
     """
 
     suspect: Suspect
+    request_id: str = ''
     parts: tuple[str, ...] = ()
     has_begun: bool = False
     n_events: int = 0
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -170,9 +170,12 @@
         default_factory=FirstTokenLatencies
     )
     forecast: FirstEventForecast = field(default_factory=FirstEventForecast)
-    attempts_by_upstream: dict[str, dict[str, InFlightAttempt]] = field(
+    # The attempts of an upstream have numbers of this node: clients may send
+    # several requests with one id.
+    attempts_by_upstream: dict[str, dict[int, InFlightAttempt]] = field(
         default_factory=dict
     )
+    last_attempt_number: int = 0
     upstream_path: UpstreamPath = field(default_factory=UpstreamPath)
     path_check: trio.Lock = field(default_factory=trio.Lock)
     cut_off: trio.Event = field(default_factory=trio.Event)
--- a/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
@@ -90,35 +90,34 @@
 def record_in_flight(
     state: NodeState,
     upstream_id: str,
-    request_id: str,
     attempt: InFlightAttempt,
-) -> None:
-    """Record a request of this node as in flight at an upstream."""
-    attempts = state.attempts_by_upstream.setdefault(upstream_id, {})
-    attempts[request_id] = attempt
+) -> int:
+    """Record an attempt as in flight at an upstream; return its number."""
+    state.last_attempt_number += 1
+    number = state.last_attempt_number
+    state.attempts_by_upstream.setdefault(upstream_id, {})[number] = attempt
+    return number
 
 
-def record_begin(state: NodeState, upstream_id: str, request_id: str) -> None:
+def record_begin(state: NodeState, upstream_id: str, number: int) -> None:
     """Record that the head of a streamed response has arrived."""
-    attempt = state.attempts_by_upstream.get(upstream_id, {}).get(request_id)
+    attempt = state.attempts_by_upstream.get(upstream_id, {}).get(number)
     if attempt is not None:
         attempt.has_begun = True
 
 
 def record_output(
-    state: NodeState, upstream_id: str, request_id: str, n_events: int
+    state: NodeState, upstream_id: str, number: int, n_events: int
 ) -> None:
     """Record events of a response; tell other nodes what they prove."""
-    attempt = state.attempts_by_upstream.get(upstream_id, {}).get(request_id)
+    attempt = state.attempts_by_upstream.get(upstream_id, {}).get(number)
     if attempt and record_events(attempt, n_events, read_cluster_time_s(state)):
         _record_proof(state, attempt.suspect.keys, attempt.first_output_s)
 
 
-def record_response(
-    state: NodeState, upstream_id: str, request_id: str
-) -> None:
+def record_response(state: NodeState, upstream_id: str, number: int) -> None:
     """Record a complete response; tell other nodes what it proves."""
-    attempt = state.attempts_by_upstream.get(upstream_id, {}).get(request_id)
+    attempt = state.attempts_by_upstream.get(upstream_id, {}).get(number)
     now_s = read_cluster_time_s(state)
     if attempt and record_complete_response(attempt, now_s):
         _record_proof(state, attempt.suspect.keys, attempt.first_output_s)
@@ -128,7 +127,7 @@
     state: NodeState,
     upstream: ListedUpstream,
     fault: AttemptFault,
-    attempts_by_request: Mapping[str, InFlightAttempt],
+    attempts_by_number: Mapping[int, InFlightAttempt],
 ) -> None:
     """Check whether a broken connection was a crash, and record it if so.
 
@@ -136,20 +135,20 @@
         state: The node.
         upstream: Upstream whose connection broke.
         fault: Fault of the attempt.
-        attempts_by_request: Attempts that were in flight there, by request.
+        attempts_by_number: Attempts that were in flight there, by number.
     """
     if fault.kind is not FaultKind.unknown or fault.is_unresponsive:
         return
     if await probe_host(state, upstream) not in _CRASH_STATUSES:
         return
-    record_crash(state, upstream.upstream_id, fault.reason, attempts_by_request)
+    record_crash(state, upstream.upstream_id, fault.reason, attempts_by_number)
 
 
 def record_crash(
     state: NodeState,
     upstream_id: str,
     reason: str,
-    attempts_by_request: Mapping[str, InFlightAttempt],
+    attempts_by_number: Mapping[int, InFlightAttempt],
 ) -> None:
     """Record a crash and what was in flight at it, and tell other nodes.
 
@@ -157,25 +156,25 @@
         state: The node.
         upstream_id: Upstream that crashed.
         reason: How the connection broke, for the log.
-        attempts_by_request: Attempts that were in flight there, by request.
+        attempts_by_number: Attempts that were in flight there, by number.
     """
     now_s = read_cluster_time_s(state)
-    suspects = list_suspects(attempts_by_request.values(), now_s)
+    suspects = list_suspects(attempts_by_number.values(), now_s)
     record = CrashRecord(upstream_id, now_s, suspects)
     blocks = report_crash(state.crash_guard, record, now_s)
     if blocks is None:
         return
     state.crash_reports.by_crash[record] = PendingReport()
-    logged = list(attempts_by_request.items())[:_MAX_LOGGED]
+    logged = list(attempts_by_number.values())[:_MAX_LOGGED]
     state.log.write(
         EventCode.upstream_failed,
         upstream=upstream_id,
         reason=reason,
-        n_requests=len(attempts_by_request),
+        n_requests=len(attempts_by_number),
         n_suspects=len(suspects),
         in_flight=[
-            [request_id, list(one.parts), one.has_begun, one.n_events]
-            for request_id, one in logged
+            [one.request_id, list(one.parts), one.has_begun, one.n_events]
+            for one in logged
         ],
     )
     announce_blocks(state, blocks, 'crash', Audience.everyone)
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -258,7 +258,7 @@
             record_begin(
                 request.node.state,
                 attempt.upstream_id,
-                request.in_flight.call.request_id,
+                request.in_flight.attempt_number,
             )
         self._schedule(self.now_s + _HEAD_S, self._write, attempt)
 
@@ -287,7 +287,7 @@
             record_output(
                 request.node.state,
                 attempt.upstream_id,
-                request.in_flight.call.request_id,
+                request.in_flight.attempt_number,
                 1,
             )
 
--- a/tests/serving/test_unary_calls.py
+++ b/tests/serving/test_unary_calls.py
@@ -228,3 +228,24 @@
         return received
 
     assert trio.run(main).startswith(b'HTTP/1.1 503')
+
+
+def test_lost_responses_to_two_requests_with_one_id_at_one_upstream():
+    # The second client got status 500, after its request had been executed.
+    async def main():
+        state = make_node_state(
+            make_table(make_route('bays', CallKind.idempotent))
+        )
+        script = [[0.2, response_bytes()] for _ in range(2)]
+        async with trio.open_nursery() as nursery:
+            await start_upstreams(nursery, state, script)
+            clients = [await open_client(nursery, state) for _ in range(2)]
+            for client in clients:
+                await client.send_all(request_bytes('/bays/1'))
+            heads = [await read_until(one, b'\r\n') for one in clients]
+            nursery.cancel_scope.cancel()
+        return state, [head[9:12] for head in heads]
+
+    state, statuses = trio.run(main)
+    assert statuses == [b'200', b'200']
+    assert not state.attempts_by_upstream
