Count the pipelined bytes that a connection has kept before

Callers would see: a node of 150 MB is ended by the platform, with all that it was doing, since a few clients send requests on and on without waiting. Cause: while a request runs, up to 64 KiB and one read more are kept for the next one, and count from 0 for each request. What an earlier request had kept is still in the parser, so each small request let the node keep 64 to 128 KiB more. Change: the count starts with what the parser still holds. The test: at most 131,072. Why it works: what is kept is now at most 64 KiB and one read, whatever came.

--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -89,10 +89,11 @@
 ) -> None:
     """Cancel the request if the client closes the connection.
 
-    Bytes that arrive meanwhile are kept for the next request. Once they
-    reach ``_MAX_PIPELINED_BYTES``, the connection is no longer watched.
+    Bytes that arrive meanwhile are kept for the next request. Once there are
+    ``_MAX_PIPELINED_BYTES``, with those that were kept before, the connection
+    is no longer watched.
     """
-    n_bytes = 0
+    n_bytes = len(connection.parser.trailing_data[0])
     while n_bytes < _MAX_PIPELINED_BYTES:
         try:
             received = await connection.stream.receive_some(READ_BYTES)
--- /dev/null
+++ b/tests/serving/test_pipelined_requests.py
@@ -0,0 +1,96 @@
+"""Clients that send requests before they have received the responses."""
+
+from dataclasses import dataclass, field
+
+import trio
+from turmericcrank_core.inbound import ByteBudget
+from turmericcrank_core.routing import ClientLimits
+from turmericcrank_node.serving.client_connection import (
+    serve_client_connection,
+)
+from turmericcrank_node.serving.request_reading import ConnectionHandlers
+
+_HEAD = b'GET / HTTP/1.1\r\nHost: a\r\nfiller: %s\r\n\r\n' % (b'x' * 4000)
+_N_REQUESTS = 300
+_ROOM_BYTES = 10_000_000
+_WORK_S = 0.001
+# What is kept before the connection is no longer watched, and one read more.
+_MOST_HELD_BYTES = 2 * 65536
+
+
+@dataclass
+class Play:
+    """What a node has read from one client, and served.
+
+    Attributes:
+        budget: Room for what the node holds.
+        n_received: Bytes that it has read.
+        held: Bytes read and not served, at each request.
+    """
+
+    budget: ByteBudget
+    n_received: int = 0
+    held: list = field(default_factory=list)
+
+
+def _count_reads(play, stream):
+    receive = stream.receive_some
+
+    async def receive_some(max_bytes=None):
+        received = await receive(max_bytes)
+        play.n_received += len(received)
+        return received
+
+    stream.receive_some = receive_some
+    return stream
+
+
+def _make_handlers(play):
+    async def handle(_request, exchange):
+        await trio.sleep(_WORK_S)
+        n_served = (len(play.held) + 1) * len(_HEAD)
+        play.held.append(play.n_received - n_served)
+        await exchange.send_response(200, [], b'')
+
+    return ConnectionHandlers(
+        handle, handle, ClientLimits, bool, trio.Event(), play.budget
+    )
+
+
+async def _discard(stream):
+    while await stream.receive_some():
+        continue
+
+
+def _pipeline(budget):
+    """Let one client send many requests at once, and read all responses."""
+    play = Play(budget)
+
+    async def main():
+        handlers = _make_handlers(play)
+
+        async def serve(stream):
+            counted = _count_reads(play, stream)
+            await serve_client_connection(handlers, counted)
+
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        async with trio.open_nursery() as nursery:
+            await nursery.start(trio.serve_listeners, serve, listeners)
+            address = listeners[0].socket.getsockname()
+            client = await trio.open_tcp_stream(*address)
+            nursery.start_soon(_discard, client)
+            await client.send_all(_HEAD * _N_REQUESTS)
+            with trio.move_on_after(20):
+                while len(play.held) < _N_REQUESTS:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    return play
+
+
+def test_lost_a_client_that_pipelines_on_and_on_takes_little_memory():
+    """Each request let one more read be kept, however much there was."""
+    play = _pipeline(ByteBudget(_ROOM_BYTES))
+    assert len(play.held) == _N_REQUESTS
+    assert max(play.held) <= _MOST_HELD_BYTES
