Keep pipelined bytes within the room for bodies

Callers would see: a node of 150 MB is ended by the platform, with all that it was doing, since many clients sent on behind a request that runs for long. Cause: 64 KiB and one read more were kept for each connection, with none of it in the budget of bytes, and up to 64 KiB more came with the head. Change: what was pipelined is reserved until it has been parsed; without room the node reads no more of that connection until its request has ended, as it did before from 64 KiB on. Where bytes may belong to a later request it reads 4 KiB at a time. They are kept in one bytearray, not as a list of pieces. The test fails, as nothing is reserved. Why it works: what the node keeps beside the budget is now two parts of 4 KiB for each connection. Left: heads are not in the budget.

--- a/packages/core/src/turmericcrank_core/inbound/byte_budget.py
+++ b/packages/core/src/turmericcrank_core/inbound/byte_budget.py
@@ -19,6 +19,7 @@
     'ByteBudget',
     'ByteHold',
     'hold_bytes',
+    'hold_spare_bytes',
     'make_body_budget',
     'release_bytes',
     'release_hold',
@@ -29,6 +30,7 @@
 _BODY_FRACTION = 0.45
 _SMALL_BODY_BYTES = 65536
 _SMALL_BODY_FRACTION = 0.2
+_SPARE_FRACTION = 0.5
 
 
 @dataclass(slots=True)
@@ -117,6 +119,21 @@
     return True
 
 
+def hold_spare_bytes(hold: ByteHold, n_bytes: int) -> bool:
+    """Reserve or release as ``hold_bytes``, but leave half of the room free.
+
+    For bytes that may as well stay with the sender, such as those of requests
+    that can't be handled yet.
+    """
+    n_added = n_bytes - hold.n_bytes
+    spare_bytes = hold.budget.max_bytes * _SPARE_FRACTION
+    if n_added > 0 and hold.budget.reserved_bytes + n_added > spare_bytes:
+        return False
+    hold.budget.reserved_bytes += n_added
+    hold.n_bytes = n_bytes
+    return True
+
+
 def release_hold(hold: ByteHold) -> None:
     """Release all bytes of a hold."""
     hold_bytes(hold, 0)
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -2,7 +2,12 @@
 
 import h11
 import trio
-from turmericcrank_core.inbound import release_bytes
+from turmericcrank_core.inbound import (
+    ByteHold,
+    hold_spare_bytes,
+    release_bytes,
+    release_hold,
+)
 
 from turmericcrank_node.http_connection import (
     CLIENT_KEEPALIVE,
@@ -14,6 +19,7 @@
     describe_disconnect,
 )
 from turmericcrank_node.serving.request_reading import (
+    PART_BYTES,
     READ_BYTES,
     ClientConnection,
     ClientRequest,
@@ -36,11 +42,15 @@
     parser = h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.header_bytes
     )
-    connection = ClientConnection(stream, parser)
+    hold = ByteHold(handlers.body_budget)
+    connection = ClientConnection(stream, parser, hold)
     with stream.socket:
-        while await _serve_next_request(handlers, connection):
-            connection.parser.start_next_cycle()
-        await _close_gracefully(connection)
+        try:
+            while await _serve_next_request(handlers, connection):
+                connection.parser.start_next_cycle()
+            await _close_gracefully(connection)
+        finally:
+            release_hold(hold)
 
 
 async def _serve_next_request(
@@ -75,9 +85,9 @@
     if not exchange.is_complete:
         connection.stream.socket.close()
         return False
-    for raw in connection.pipelined:
-        connection.parser.receive_data(raw)
-    connection.pipelined.clear()
+    if connection.pipelined:
+        connection.parser.receive_data(bytes(connection.pipelined))
+        connection.pipelined.clear()
     states = connection.parser.our_state, connection.parser.their_state
     return states == (h11.DONE, h11.DONE)
 
@@ -91,12 +101,11 @@
 
     Bytes that arrive meanwhile are kept for the next request. Once there are
     ``_MAX_PIPELINED_BYTES``, with those that were kept before, the connection
-    is no longer watched.
+    is no longer watched. The same holds where there is no room for more.
     """
-    n_bytes = len(connection.parser.trailing_data[0])
-    while n_bytes < _MAX_PIPELINED_BYTES:
+    while _hold_pipelined(connection):
         try:
-            received = await connection.stream.receive_some(READ_BYTES)
+            received = await connection.stream.receive_some(PART_BYTES)
         except CONNECTION_ERRORS as error:
             received = b''
             exchange.disconnect_reason = describe_disconnect(error)
@@ -104,8 +113,15 @@
             exchange.disconnect_reason = exchange.disconnect_reason or 'closed'
             scope.cancel()
             return
-        connection.pipelined.append(received)
-        n_bytes += len(received)
+        connection.pipelined += received
+
+
+def _hold_pipelined(connection: ClientConnection) -> bool:
+    """Reserve room for what was pipelined; return whether to read on."""
+    n_parsed = len(connection.parser.trailing_data[0])
+    n_bytes = n_parsed + len(connection.pipelined)
+    has_room = hold_spare_bytes(connection.pipelined_hold, n_bytes)
+    return has_room and n_bytes < _MAX_PIPELINED_BYTES
 
 
 async def _close_gracefully(connection: ClientConnection) -> None:
--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -7,7 +7,7 @@
 
 import h11
 import trio
-from turmericcrank_core.inbound import ByteBudget, reserve_bytes
+from turmericcrank_core.inbound import ByteBudget, ByteHold, reserve_bytes
 from turmericcrank_core.routing import ClientLimits
 
 from turmericcrank_node.http_connection import (
@@ -18,6 +18,7 @@
 from turmericcrank_node.serving.client_exchange import ClientExchange
 
 __all__ = (
+    'PART_BYTES',
     'READ_BYTES',
     'ClientConnection',
     'ClientRequest',
@@ -26,6 +27,8 @@
 )
 
 READ_BYTES = 65536
+# Read at a time where what follows may belong to a later request.
+PART_BYTES = 4096
 _TIMED_OUT = object()
 
 
@@ -83,12 +86,14 @@
         stream: Client socket.
         parser: HTTP protocol state.
         pipelined: Bytes received while a request was being handled.
+        pipelined_hold: Room for these, also once the parser has them.
         reserved_bytes: Bytes that the body of the current request reserved.
     """
 
     stream: trio.SocketStream
     parser: h11.Connection
-    pipelined: list[bytes] = field(default_factory=list)
+    pipelined_hold: ByteHold
+    pipelined: bytearray = field(default_factory=bytearray)
     reserved_bytes: int = 0
 
 
@@ -226,8 +231,10 @@
         event = read()
         if event is not h11.NEED_DATA:
             return event
+        is_body = connection.parser.their_state is h11.SEND_BODY
+        n_bytes = READ_BYTES if is_body else PART_BYTES
         try:
-            received = await connection.stream.receive_some(READ_BYTES)
+            received = await connection.stream.receive_some(n_bytes)
         except CONNECTION_ERRORS:
             return None
         connection.parser.receive_data(received)
@@ -247,7 +254,7 @@
         nursery.start_soon(_cancel_on, handlers.closing, nursery.cancel_scope)
         with trio.move_on_after(idle_s):
             try:
-                received = await connection.stream.receive_some(READ_BYTES)
+                received = await connection.stream.receive_some(PART_BYTES)
             except CONNECTION_ERRORS:
                 received = b''
         nursery.cancel_scope.cancel()
--- a/tests/serving/test_pipelined_requests.py
+++ b/tests/serving/test_pipelined_requests.py
@@ -14,6 +14,10 @@
 _N_REQUESTS = 300
 _ROOM_BYTES = 10_000_000
 _WORK_S = 0.001
+_N_CLIENTS = 20
+_N_PIPELINED = 60
+_SMALL_ROOM_BYTES = 200_000
+_PART_BYTES = 4096
 # What is kept before the connection is no longer watched, and one read more.
 _MOST_HELD_BYTES = 2 * 65536
 
@@ -24,11 +28,13 @@
 
     Attributes:
         budget: Room for what the node holds.
+        work_s: How long it handles a request.
         n_received: Bytes that it has read.
         held: Bytes read and not served, at each request.
     """
 
     budget: ByteBudget
+    work_s: float = _WORK_S
     n_received: int = 0
     held: list = field(default_factory=list)
 
@@ -46,25 +52,31 @@
 
 
 def _make_handlers(play):
-    async def handle(_request, exchange):
-        await trio.sleep(_WORK_S)
+    async def respond(_request, exchange):
+        await trio.sleep(play.work_s)
         n_served = (len(play.held) + 1) * len(_HEAD)
         play.held.append(play.n_received - n_served)
         await exchange.send_response(200, [], b'')
 
     return ConnectionHandlers(
-        handle, handle, ClientLimits, bool, trio.Event(), play.budget
+        respond, respond, ClientLimits, bool, trio.Event(), play.budget
     )
 
 
+async def _send(client, raw):
+    """Send requests and read all responses."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_discard, client)
+        await client.send_all(raw)
+
+
 async def _discard(stream):
     while await stream.receive_some():
         continue
 
 
-def _pipeline(budget):
-    """Let one client send many requests at once, and read all responses."""
-    play = Play(budget)
+def _pipeline(play, act):
+    """Start a node, and run a function that connects clients to it."""
 
     async def main():
         handlers = _make_handlers(play)
@@ -76,21 +88,47 @@
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         async with trio.open_nursery() as nursery:
             await nursery.start(trio.serve_listeners, serve, listeners)
-            address = listeners[0].socket.getsockname()
-            client = await trio.open_tcp_stream(*address)
-            nursery.start_soon(_discard, client)
-            await client.send_all(_HEAD * _N_REQUESTS)
-            with trio.move_on_after(20):
-                while len(play.held) < _N_REQUESTS:
-                    await trio.sleep(0.01)
+            await act(nursery, listeners[0].socket.getsockname())
             nursery.cancel_scope.cancel()
 
     trio.run(main)
-    return play
 
 
 def test_lost_a_client_that_pipelines_on_and_on_takes_little_memory():
     """Each request let one more read be kept, however much there was."""
-    play = _pipeline(ByteBudget(_ROOM_BYTES))
+    play = Play(ByteBudget(_ROOM_BYTES))
+
+    async def act(nursery, address):
+        client = await trio.open_tcp_stream(*address)
+        nursery.start_soon(_send, client, _HEAD * _N_REQUESTS)
+        with trio.move_on_after(20):
+            while len(play.held) < _N_REQUESTS:
+                await trio.sleep(0.01)
+
+    _pipeline(play, act)
     assert len(play.held) == _N_REQUESTS
     assert max(play.held) <= _MOST_HELD_BYTES
+
+
+def test_lost_many_clients_that_pipeline_keep_to_the_room_together():
+    """Each was bounded, their sum was not."""
+    play = Play(ByteBudget(_SMALL_ROOM_BYTES), work_s=0.5)
+
+    async def act(nursery, address):
+        clients = [
+            await trio.open_tcp_stream(*address) for _ in range(_N_CLIENTS)
+        ]
+        async with trio.open_nursery() as senders:
+            for client in clients:
+                senders.start_soon(client.send_all, _HEAD * _N_PIPELINED)
+            await trio.sleep(0.3)
+            senders.cancel_scope.cancel()
+        assert 0 < play.budget.reserved_bytes <= _SMALL_ROOM_BYTES / 2
+        for client in clients:
+            await client.aclose()
+        await trio.sleep(1.5)
+
+    _pipeline(play, act)
+    n_parts = _N_CLIENTS * _PART_BYTES * 2
+    assert max(play.held) <= _SMALL_ROOM_BYTES / 2 + n_parts
+    assert play.budget.reserved_bytes == 0
