--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -12,6 +12,7 @@
 import trio
 from turmericcrank_core.inbound import (
     ByteBudget,
+    ByteHold,
     ConnectionCounts,
     reserve_bytes,
 )
@@ -25,6 +26,7 @@
 from turmericcrank_node.serving.client_exchange import ClientExchange
 
 __all__ = (
+    'PART_BYTES',
     'READ_BYTES',
     'ClientConnection',
     'ClientRequest',
@@ -33,6 +35,8 @@
 )
 
 READ_BYTES = 65536
+# Read at a time where what follows may belong to a later request.
+PART_BYTES = 4096
 _TIMED_OUT = object()
 
 
@@ -95,6 +99,7 @@
         stream: Client socket.
         parser: HTTP protocol state.
         pipelined: Bytes received while a request was being handled.
+        pipelined_hold: Room for these, also once the parser has them.
         reserved_bytes: Bytes that the body of the current request reserved.
         idle_end: Why the connection is closed though no request was read:
             ``drain`` or ``idle timeout``; empty in any other case.
@@ -102,7 +107,8 @@
 
     stream: trio.SocketStream
     parser: h11.Connection
-    pipelined: list[bytes] = field(default_factory=list)
+    pipelined_hold: ByteHold
+    pipelined: bytearray = field(default_factory=bytearray)
     reserved_bytes: int = 0
     idle_end: str = ''
 
@@ -253,8 +259,10 @@
         event = read()
         if event is not h11.NEED_DATA:
             return event
+        is_body = connection.parser.their_state is h11.SEND_BODY
+        n_bytes = READ_BYTES if is_body else PART_BYTES
         try:
-            received = await connection.stream.receive_some(READ_BYTES)
+            received = await connection.stream.receive_some(n_bytes)
         except CONNECTION_ERRORS:
             return None
         connection.parser.receive_data(received)
@@ -295,7 +303,7 @@
 async def _receive(connection: ClientConnection) -> bytes:
     """Receive bytes; empty if the connection was closed or broke."""
     try:
-        return await connection.stream.receive_some(READ_BYTES)
+        return await connection.stream.receive_some(PART_BYTES)
     except CONNECTION_ERRORS:
         return b''
 
