--- a/tests/serving/test_pipelined_requests.py
+++ b/tests/serving/test_pipelined_requests.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 import trio
-from turmericcrank_core.inbound import ByteBudget
+from turmericcrank_core.inbound import ByteBudget, ConnectionCounts
 from turmericcrank_core.routing import ClientLimits
 from turmericcrank_node.serving.client_connection import (
     serve_client_connection,
@@ -59,7 +59,14 @@
         await exchange.send_response(200, [], b'')
 
     return ConnectionHandlers(
-        respond, respond, ClientLimits, bool, trio.Event(), play.budget
+        respond,
+        respond,
+        ClientLimits,
+        bool,
+        trio.Event(),
+        play.budget,
+        ConnectionCounts(),
+        lambda _cause, _n_bytes: None,
     )
 
 
