Keep a deadline that passes before sending from being an internal fault

Cause: time is checked before a request is charged and sent, and read again for the timeout of the attempt. When the deadline passes between the two, trio is handed a negative timeout and raises. The request ends with status 500, or, if the client leaves in that moment, the error is raised in a BaseExceptionGroup, which passes by the handler of internal faults up to the connection. Ruled out: connecting (less than 20 ms left is a fault of its own); the other timeouts and sleeps of the router, which are constant, checked or limited to 0. Change: the two timeouts of an attempt are limited to 0, as the soft one was. The attempt then ends as not sent. Conclusion: a process that is held up between two readings of the clock is usual on real machines; a time left must be taken for 0 wherever it may be used after a check.

--- a/packages/node/src/turmericcrank_node/serving/stream_call.py
+++ b/packages/node/src/turmericcrank_node/serving/stream_call.py
@@ -237,7 +237,7 @@
     progress.timing = StreamTiming()
     outcome: StreamOutcome = _CLIENT_GONE
     try:
-        with trio.move_on_after(left_s):
+        with trio.move_on_after(max(0, left_s)):
             outcome = _DEADLINE
             outcome = await _open_and_relay(
                 state, in_flight, exchange, progress, upstream, metadata
--- a/packages/node/src/turmericcrank_node/upstreams/attempt_timeout.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt_timeout.py
@@ -84,7 +84,7 @@
         async with trio.open_nursery() as nursery:
             wait = _Wait(nursery.cancel_scope, limits.slow_reason)
             nursery.start_soon(_watch_upstream, state, limits, upstream, wait)
-            with trio.move_on_after(limits.left_s):
+            with trio.move_on_after(max(0, limits.left_s)):
                 outcome = await operation()
                 is_done = True
             nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/serving/test_passed_deadlines.py
@@ -0,0 +1,56 @@
+"""A deadline that passes just before a request is sent."""
+
+import time
+
+import pytest
+import trio
+from turmericcrank_core.routing import CallKind
+
+from tests.router_builders import make_route, make_table
+from tests.router_fakes import (
+    FakeLog,
+    make_node_state,
+    open_client,
+    read_until,
+    request_bytes,
+    start_upstreams,
+)
+from tests.upstream_fakes import response_bytes
+
+_DEADLINE_S = 0.1
+
+
+class _SlowLog(FakeLog):
+    """Holds the process up when a request is about to be sent."""
+
+    def write(self, event, /, **fields):
+        super().write(event, **fields)
+        if event.name == 'request_sent':
+            time.sleep(_DEADLINE_S * 1.2)
+
+
+@pytest.mark.parametrize(
+    'kind', [CallKind.idempotent, CallKind.non_idempotent, CallKind.stream]
+)
+def test_lost_no_response_when_a_deadline_passes_before_sending(kind):
+    """A held-up process gave status 500, or closed if the client left too."""
+
+    async def main():
+        state = make_node_state(make_table(make_route('bays', kind)))
+        state.log = _SlowLog()
+        async with trio.open_nursery() as nursery:
+            fakes = await start_upstreams(nursery, state, [[response_bytes()]])
+            client = await open_client(nursery, state)
+            await client.send_all(
+                request_bytes('/bays/1', wait=str(_DEADLINE_S))
+            )
+            received = await read_until(client, b'\r\n\r\n')
+            nursery.cancel_scope.cancel()
+        return received, [one for fake in fakes for one in fake.requests], state
+
+    received, arrived, state = trio.run(main)
+    assert 'request_sent' in state.log.names()
+    assert 'internal_fault' not in state.log.names()
+    assert received.startswith(b'HTTP/1.1 50')
+    assert not received.startswith(b'HTTP/1.1 500')
+    assert not arrived
