--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,79 @@
+"""Plays one run: ``python -m tests.soak --seed 7 --kinds term,hup,pause``."""
+
+import argparse
+import asyncio
+import dataclasses
+import importlib
+import pathlib
+import pickle
+import sys
+import tempfile
+from typing import Any
+
+from tests.soak.figures import sum_up
+from tests.soak.play import play
+from tests.soak.record import Run
+from tests.soak.scene import ALL_KINDS, Options
+
+__all__ = ('judge', 'main')
+
+_JUDGES = ('judge_lost', 'judge_budget')
+
+
+def judge(run: Run) -> list[Any]:
+    """Return the findings of all judges that there are."""
+    found = []
+    for name in _JUDGES:
+        try:
+            module = importlib.import_module(f'tests.soak.{name}')
+        except ModuleNotFoundError:
+            continue
+        found += getattr(module, name)(run)
+    return found
+
+
+def main() -> int:
+    """Play a run, print its figures and what the judges found."""
+    arguments = _read_arguments()
+    kinds = (
+        ALL_KINDS if arguments.kinds == 'all' else arguments.kinds.split(',')
+    )
+    options = Options(
+        seed=arguments.seed,
+        seconds=arguments.seconds,
+        kinds=frozenset(kind for kind in kinds if kind),
+    )
+    given = {
+        name: getattr(arguments, name)
+        for name in ('n_nodes', 'n_clients', 'think_s', 'longest_pause_s')
+        if getattr(arguments, name) is not None
+    }
+    options = dataclasses.replace(options, **given)
+    folder = arguments.folder or pathlib.Path(tempfile.mkdtemp())
+    folder.mkdir(parents=True, exist_ok=True)
+    run = asyncio.run(play(options, folder))
+    (folder / 'run.pickle').write_bytes(pickle.dumps(run))
+    sys.stdout.write(f'{sum_up(run)}\n{folder}\n')
+    findings = judge(run)
+    for finding in findings:
+        sys.stdout.write(f'{finding.rule} {finding.line}: {finding.text}\n')
+    return int(bool(findings))
+
+
+def _read_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog='tests.soak')
+    parser.add_argument('--seed', type=int, required=True)
+    parser.add_argument('--seconds', type=float, default=60)
+    parser.add_argument(
+        '--kinds', default='', help=f'all, or some of {",".join(ALL_KINDS)}'
+    )
+    parser.add_argument('--folder', type=pathlib.Path)
+    parser.add_argument('--n-nodes', type=int)
+    parser.add_argument('--n-clients', type=int)
+    parser.add_argument('--think-s', type=float)
+    parser.add_argument('--longest-pause-s', type=float)
+    return parser.parse_args()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/client_connections.py
@@ -0,0 +1,165 @@
+"""Sends one request of a client and records how it ended."""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from tests.soak.record import ClientRequest, Ending
+from tests.soak.stand_ins import Message, read_chunk, read_head
+
+__all__ = ('ClientConnection', 'Outcome', 'close', 'send')
+
+_CONNECT_S = 1
+_GAP_S = 8
+_CHUNKED = 'chunked'
+
+
+@dataclass(slots=True)
+class ClientConnection:
+    """A connection to a node.
+
+    Attributes:
+        number: Number of the connection in the run.
+        address: Address of the node.
+        reader: Its reading side; None before it is open.
+        writer: Its writing side.
+        n_requests: Requests that it has carried.
+    """
+
+    number: int
+    address: str
+    reader: asyncio.StreamReader | None = None
+    writer: asyncio.StreamWriter | None = None
+    n_requests: int = 0
+
+    @property
+    def is_usable(self) -> bool:
+        """Return whether it is open, as far as the client knows."""
+        if self.writer is None or self.writer.is_closing():
+            return False
+        return not self.reader.at_eof() and self.reader.exception() is None
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What the client has read.
+
+    Attributes:
+        headers: Headers of the response.
+        last_event_id: Id of the last whole event.
+    """
+
+    headers: dict[str, str] = field(default_factory=dict)
+    last_event_id: int = 0
+
+
+async def send(
+    connection: ClientConnection,
+    request: ClientRequest,
+    head: bytes,
+    body: bytes,
+    *,
+    body_pause_s: float = 0,
+) -> Outcome:
+    """Send a request and wait for its response, up to its deadline."""
+    outcome = Outcome()
+    request.began_s = time.monotonic()
+    if connection.writer is None and not await _connect(connection):
+        request.ending = Ending.refused
+        request.ended_s = time.monotonic()
+        return outcome
+    request.is_kept = connection.n_requests > 0
+    connection.n_requests += 1
+    request.began_s = time.monotonic()
+    try:
+        async with asyncio.timeout(request.deadline_s):
+            await _write(connection, request, head, body, body_pause_s)
+            await _read(connection, request, outcome)
+    except TimeoutError:
+        request.ending = Ending.left
+    except (OSError, ValueError, EOFError):
+        request.ending = Ending.broken
+    if request.ending is Ending.pending:
+        return outcome
+    request.ended_s = time.monotonic()
+    asked_close = outcome.headers.get('connection', '').lower() == 'close'
+    if request.ending is not Ending.answered or asked_close:
+        close(connection)
+    return outcome
+
+
+def close(connection: ClientConnection) -> None:
+    """Close a connection."""
+    if connection.writer is not None:
+        connection.writer.close()
+
+
+async def _connect(connection: ClientConnection) -> bool:
+    host, _, port = connection.address.rpartition(':')
+    try:
+        async with asyncio.timeout(_CONNECT_S):
+            (
+                connection.reader,
+                connection.writer,
+            ) = await asyncio.open_connection(host, int(port))
+    except (OSError, TimeoutError):
+        return False
+    return True
+
+
+async def _write(
+    connection: ClientConnection,
+    request: ClientRequest,
+    head: bytes,
+    body: bytes,
+    body_pause_s: float,
+) -> None:
+    writer = connection.writer
+    if body_pause_s:
+        writer.write(head + body[: len(body) // 2])
+        await asyncio.sleep(body_pause_s)
+        writer.write(body[len(body) // 2 :])
+    else:
+        writer.write(head + body)
+    while writer.transport.get_write_buffer_size():
+        if writer.is_closing():
+            raise ConnectionResetError
+        await asyncio.sleep(0.001)
+    request.sent_s = time.monotonic()
+
+
+async def _read(
+    connection: ClientConnection, request: ClientRequest, outcome: Outcome
+) -> None:
+    response = await read_head(connection.reader)
+    if response is None:
+        raise EOFError
+    request.status = response.status
+    outcome.headers = response.headers
+    if response.headers.get('transfer-encoding', '').lower() == _CHUNKED:
+        await _read_events(connection, outcome)
+    else:
+        await _read_body(connection, response)
+    request.ending = Ending.answered
+
+
+async def _read_body(connection: ClientConnection, response: Message) -> Any:
+    length = response.headers.get('content-length')
+    if length is not None:
+        return await connection.reader.readexactly(int(length))
+    return await connection.reader.read()
+
+
+async def _read_events(connection: ClientConnection, outcome: Outcome) -> None:
+    pending = b''
+    while True:
+        async with asyncio.timeout(_GAP_S):
+            data = await read_chunk(connection.reader)
+        if not data:
+            return
+        *events, pending = (pending + data).split(b'\n\n')
+        for event in events:
+            for line in event.split(b'\n'):
+                if line.startswith(b'id:'):
+                    outcome.last_event_id = int(line[3:])
--- /dev/null
+++ b/tests/soak/play.py
@@ -0,0 +1,186 @@
+"""Plays one run and returns its record."""
+
+import asyncio
+import pathlib
+import random
+import time
+
+from tests.soak.clients import play_cause, play_client
+from tests.soak.nodes import (
+    NodeControl,
+    NodeDeployment,
+    start_node,
+    watch_nodes,
+)
+from tests.soak.record import Run
+from tests.soak.scene import (
+    BOUNDS,
+    CrashCause,
+    Options,
+    Scene,
+    SoakRoute,
+    make_routes,
+    pick_team,
+)
+from tests.soak.stand_ins import Store, find_free_port, pick_host
+from tests.soak.troubles import play_troubles
+from tests.soak.upstreams import Upstream, start_upstream
+
+__all__ = ('NotReadyError', 'play')
+
+_ZONES = ('bdg-a', 'bdg-b', 'bgr-c')
+_SETTLE_S = 2
+_READY_S = 40
+_LAST_S = 14
+_MEMORY_MB = 150
+_EVENTS = 20
+
+
+class NotReadyError(Exception):
+    """A node did not become ready at the begin of a run."""
+
+
+async def play(options: Options, folder: pathlib.Path) -> Run:
+    """Play a run; settings and logs of nodes are kept in the folder."""
+    host = pick_host()
+    store = Store(host, find_free_port(host))
+    await store.start()
+    scene = Scene(options, Run(options.seed), store, make_routes())
+    scene.crash_rng = scene.make_rng('crash')
+    scene.causes = _plan_causes(options, scene.make_rng('causes'), scene.routes)
+    scene.write_configuration()
+    upstreams = _make_upstreams(options, scene.make_rng('upstreams'))
+    for upstream in upstreams:
+        await start_upstream(scene, upstream)
+    deployment = NodeDeployment(
+        folder,
+        store.address,
+        BOUNDS,
+        zones=_ZONES,
+        region='java-west',
+        memory_mb=_MEMORY_MB,
+    )
+    control = NodeControl(scene, deployment, set(), set())
+    try:
+        await _start_nodes(control)
+        await _play_traffic(control, upstreams)
+    finally:
+        for task in list(scene.tasks):
+            task.cancel()
+        await asyncio.gather(*scene.tasks, return_exceptions=True)
+        deployment.stop_all()
+        for upstream in upstreams:
+            upstream.server.close()
+        await store.go_away()
+    scene.run.requests.sort(key=lambda request: request.began_s)
+    if scene.faults:
+        raise RuntimeError(f'the soak itself has failed: {scene.faults[:3]}')
+    return scene.run
+
+
+async def _start_nodes(control: NodeControl) -> None:
+    scene, deployment = control.scene, control.deployment
+    for number in range(scene.options.n_nodes):
+        zone = _ZONES[number % len(_ZONES)]
+        node = deployment.add(f'front-{zone}-{number}', zone)
+        scene.node_by_address[node.listen['front']] = node.name
+        scene.directories.append(node.listen['directory'])
+    for name in control.names:
+        start_node(control, name, is_first=True)
+    for name in control.names:
+        if not await deployment.wait_until_ready(name, _READY_S):
+            raise NotReadyError(name)
+    await asyncio.sleep(_SETTLE_S)
+
+
+async def _play_traffic(
+    control: NodeControl, upstreams: list[Upstream]
+) -> None:
+    """Play clients and troubles; then let what runs come to its end."""
+    scene = control.scene
+    options, run = scene.options, scene.run
+    run.began_s = time.monotonic()
+    scene.start_task(watch_nodes(control))
+    for number in range(options.n_clients):
+        scene.start_task(play_client(scene, number))
+    for cause in scene.causes:
+        scene.start_task(play_cause(scene, cause))
+    troubles = scene.start_task(play_troubles(control, upstreams))
+    await asyncio.sleep(options.seconds)
+    run.ended_s = time.monotonic()
+    troubles.cancel()
+    scene.is_over = True
+    until_s = time.monotonic() + _LAST_S
+    while time.monotonic() < until_s and _count_open(scene.run):
+        await asyncio.sleep(0.1)
+
+
+def _count_open(run: Run) -> int:
+    return sum(not request.ended_s for request in run.requests)
+
+
+def _make_upstreams(options: Options, rng: random.Random) -> list[Upstream]:
+    routes = list(make_routes().values())
+    plain, engines = routes[0].services, routes[-1].services
+    made = []
+    for number in range(options.n_plain):
+        host = pick_host()
+        made.append(
+            Upstream(
+                name=f'plain-{number}',
+                service=plain[number % 3 == 2],
+                data_centre=_ZONES[number % len(_ZONES)],
+                host=host,
+                port=find_free_port(host),
+                slots=8,
+                queue=12,
+                work_s=rng.uniform(0.02, 0.06),
+            )
+        )
+    for number in range(options.n_engines):
+        host = pick_host()
+        made.append(
+            Upstream(
+                name=f'engine-{number}',
+                service=engines[number % 3 == 2],
+                data_centre=_ZONES[number % len(_ZONES)],
+                host=host,
+                port=find_free_port(host),
+                slots=8,
+                queue=6,
+                work_s=rng.uniform(0.5, 1.4),
+                n_events=_EVENTS,
+            )
+        )
+    return made
+
+
+def _plan_causes(
+    options: Options, rng: random.Random, routes: dict[str, SoakRoute]
+) -> list[CrashCause]:
+    names = list(routes)
+    streams = names[2:]
+    planned = []
+    for kind in ('crashrequest', 'crashpart'):
+        if kind not in options.kinds:
+            continue
+        for number in range(rng.choice((1, 1, 2))):
+            is_part = kind == 'crashpart'
+            name = rng.choice(streams if is_part else names)
+            begin_s = rng.uniform(0.15, 0.35) * options.seconds
+            planned.append(
+                CrashCause(
+                    key=f'{kind}-{number}',
+                    part=f'{rng.getrandbits(32):08x}' if is_part else '',
+                    body=b'' if is_part else rng.randbytes(60).hex().encode(),
+                    route=name,
+                    team=pick_team(rng),
+                    first_part=f'{rng.randrange(12):08x}'
+                    if name in streams
+                    else '',
+                    begin_s=begin_s,
+                    end_s=begin_s + rng.uniform(0.4, 0.6) * options.seconds,
+                    period_s=rng.uniform(0.3, 1.2),
+                )
+            )
+    return planned
