--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,7 +10,7 @@
 import tempfile
 from typing import Any
 
-from tests.soak.figures import sum_up
+from tests.soak.figures import list_events, sum_up
 from tests.soak.play import play
 from tests.soak.record import Run
 from tests.soak.scene import ALL_KINDS, Options
@@ -53,6 +53,8 @@
     folder.mkdir(parents=True, exist_ok=True)
     run = asyncio.run(play(options, folder))
     (folder / 'run.pickle').write_bytes(pickle.dumps(run))
+    events = '\n'.join(list_events(run))
+    (folder / 'events.txt').write_text(f'{events}\n')
     sys.stdout.write(f'{sum_up(run)}\n{folder}\n')
     findings = judge(run)
     for finding in findings:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -6,12 +6,8 @@
 import time
 
 from tests.soak.clients import play_cause, play_client
-from tests.soak.nodes import (
-    NodeControl,
-    NodeDeployment,
-    start_node,
-    watch_nodes,
-)
+from tests.soak.node_control import NodeControl, start_node, watch_nodes
+from tests.soak.nodes import NodeDeployment
 from tests.soak.record import Run
 from tests.soak.scene import (
     BOUNDS,
@@ -47,8 +43,9 @@
     await store.start()
     scene = Scene(options, Run(options.seed), store, make_routes())
     scene.crash_rng = scene.make_rng('crash')
+    scene.start_rng = scene.make_rng('start')
     scene.causes = _plan_causes(options, scene.make_rng('causes'), scene.routes)
-    scene.write_configuration()
+    await scene.write_configuration()
     upstreams = _make_upstreams(options, scene.make_rng('upstreams'))
     for upstream in upstreams:
         await start_upstream(scene, upstream)
@@ -60,11 +57,12 @@
         region='java-west',
         memory_mb=_MEMORY_MB,
     )
-    control = NodeControl(scene, deployment, set(), set())
+    control = NodeControl(scene, deployment)
     try:
         await _start_nodes(control)
         await _play_traffic(control, upstreams)
     finally:
+        scene.is_closing = True
         for task in list(scene.tasks):
             task.cancel()
         await asyncio.gather(*scene.tasks, return_exceptions=True)
--- a/tests/soak/scene.py
+++ b/tests/soak/scene.py
@@ -86,12 +86,14 @@
         kind: What may be repeated.
         services: Services between which it may move.
         share: Share of the clients' requests.
+        first_timeout_ms: Timeout at the begin of the run.
     """
 
     raw: dict[str, Any]
     kind: RouteKind
     services: tuple[str, str]
     share: float
+    first_timeout_ms: int
 
     @property
     def timeout_s(self) -> float:
@@ -145,7 +147,9 @@
         faults: Errors of the soak itself.
         pids: Process ids of nodes by name.
         crash_rng: Says when a crashed upstream is back.
+        start_rng: Says which signals a node gets at its start and end.
         is_over: Whether clients send no further requests.
+        is_closing: Whether the run is being cleared away.
     """
 
     options: Options
@@ -161,7 +165,9 @@
     faults: list[str] = field(default_factory=list)
     pids: dict[str, int] = field(default_factory=dict)
     crash_rng: random.Random = field(default_factory=random.Random)
+    start_rng: random.Random = field(default_factory=random.Random)
     is_over: bool = False
+    is_closing: bool = False
 
     def make_rng(self, name: str) -> random.Random:
         """Make a generator of its own for one purpose."""
@@ -179,8 +185,10 @@
         event = NodeEvent(time.monotonic(), node, kind, text)
         self.run.node_events.append(event)
 
-    def write_configuration(self) -> None:
-        """Write the configuration to the store."""
+    async def write_configuration(self) -> None:
+        """Write the configuration to the store, once it is there."""
+        while self.store.is_away:
+            await asyncio.sleep(0.05)
         routes = [route.raw for route in self.routes.values()]
         manifest = make_manifest(self.revision, routes, [])
         manifest['limits']['idle-timeout-ms'] = self.idle_timeout_ms
@@ -253,7 +261,7 @@
         (RouteKind.resumable_stream, engines, 0.3),
     )
     return {
-        raw['name']: SoakRoute(raw, *kind)
+        raw['name']: SoakRoute(raw, *kind, raw['timeout-ms'])
         for raw, kind in zip(raw_routes, kinds, strict=True)
     }
 
