--- a/tests/soak/client_connections.py
+++ b/tests/soak/client_connections.py
@@ -99,12 +99,11 @@
     host, _, port = connection.address.rpartition(':')
     try:
         async with asyncio.timeout(_CONNECT_S):
-            (
-                connection.reader,
-                connection.writer,
-            ) = await asyncio.open_connection(host, int(port))
+            streams = await asyncio.open_connection(host, int(port))
     except (OSError, TimeoutError):
         return False
+    connection.reader = streams[0]
+    connection.writer = streams[1]
     return True
 
 
@@ -155,10 +154,10 @@
     pending = b''
     while True:
         async with asyncio.timeout(_GAP_S):
-            data = await read_chunk(connection.reader)
-        if not data:
+            chunk = await read_chunk(connection.reader)
+        if not chunk:
             return
-        *events, pending = (pending + data).split(b'\n\n')
+        *events, pending = (pending + chunk).split(b'\n\n')
         for event in events:
             for line in event.split(b'\n'):
                 if line.startswith(b'id:'):
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -15,6 +15,7 @@
 from tests.soak.record import ClientRequest, Ending, RouteKind
 from tests.soak.scene import (
     HOST_NAME,
+    N_GROUPS,
     CrashCause,
     Scene,
     make_key,
@@ -30,7 +31,6 @@
 _MAX_REPEATS = 3
 _MAX_HASTY_REPEATS = 8
 _REPEAT_PAUSE_S = 0.1
-_N_GROUPS = 12
 _LONG_IDLE_SHARE = 0.03
 _STREAMS = frozenset((RouteKind.stream, RouteKind.resumable_stream))
 
@@ -130,9 +130,10 @@
     name = rng.choices(names, weights)[0]
     route = scene.routes[name]
     is_stream = route.kind in _STREAMS
-    part = f'{rng.randrange(_N_GROUPS):08x}'
+    part = f'{rng.randrange(N_GROUPS):08x}'
     own = f'{rng.getrandbits(32):08x}'
-    prefix = f'{part}:800,{part[::-1]}:200,{own}:120' if is_stream else ''
+    second = f'{rng.randrange(N_GROUPS) + N_GROUPS:08x}'
+    prefix = f'{part}:800,{second}:200,{own}:120' if is_stream else ''
     size = 200_000 if rng.random() < 0.02 else rng.randrange(20, 1200)
     body = rng.randbytes(8).hex().encode() * (size // 16 + 1)
     if route.kind is RouteKind.idempotent:
--- a/tests/soak/node_control.py
+++ b/tests/soak/node_control.py
@@ -58,7 +58,8 @@
 
     def poll(self, name: str) -> int | None:
         """Return the exit status of a node's process; None if it runs."""
-        return self.deployment.nodes[name].process.poll()
+        process = self.deployment.nodes[name].process
+        return process.poll()
 
 
 def start_node(
@@ -67,7 +68,8 @@
     """Start a node and note when it becomes ready."""
     scene = control.scene
     control.deployment.start(name, is_first=is_first)
-    scene.pids[name] = control.deployment.nodes[name].process.pid
+    node = control.deployment.nodes[name]
+    scene.pids[name] = node.process.pid
     scene.note_node(name, NodeEventKind.started)
     scene.start_task(_note_ready(control, name))
     if not is_first:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -4,6 +4,8 @@
 import pathlib
 import random
 import time
+from dataclasses import replace
+from functools import partial
 
 from tests.soak.clients import play_cause, play_client
 from tests.soak.node_control import NodeControl, start_node, watch_nodes
@@ -11,6 +13,7 @@
 from tests.soak.record import Run
 from tests.soak.scene import (
     BOUNDS,
+    N_GROUPS,
     CrashCause,
     Options,
     Scene,
@@ -20,6 +23,7 @@
 )
 from tests.soak.stand_ins import Store, find_free_port, pick_host
 from tests.soak.troubles import play_troubles
+from tests.soak.upstream_requests import serve_connection
 from tests.soak.upstreams import Upstream, start_upstream
 
 __all__ = ('NotReadyError', 'play')
@@ -48,6 +52,7 @@
     await scene.write_configuration()
     upstreams = _make_upstreams(options, scene.make_rng('upstreams'))
     for upstream in upstreams:
+        upstream.serve = partial(serve_connection, scene, upstream)
         await start_upstream(scene, upstream)
     deployment = NodeDeployment(
         folder,
@@ -62,20 +67,25 @@
         await _start_nodes(control)
         await _play_traffic(control, upstreams)
     finally:
-        scene.is_closing = True
-        for task in list(scene.tasks):
-            task.cancel()
-        await asyncio.gather(*scene.tasks, return_exceptions=True)
-        deployment.stop_all()
-        for upstream in upstreams:
-            upstream.server.close()
-        await store.go_away()
+        await _clear_away(control, upstreams)
     scene.run.requests.sort(key=lambda request: request.began_s)
     if scene.faults:
         raise RuntimeError(f'the soak itself has failed: {scene.faults[:3]}')
     return scene.run
 
 
+async def _clear_away(control: NodeControl, upstreams: list[Upstream]) -> None:
+    scene = control.scene
+    scene.is_closing = True
+    for task in list(scene.tasks):
+        task.cancel()
+    await asyncio.gather(*scene.tasks, return_exceptions=True)
+    control.deployment.stop_all()
+    for upstream in upstreams:
+        upstream.server.close()
+    await scene.store.go_away()
+
+
 async def _start_nodes(control: NodeControl) -> None:
     scene, deployment = control.scene, control.deployment
     for number in range(scene.options.n_nodes):
@@ -156,29 +166,36 @@
 def _plan_causes(
     options: Options, rng: random.Random, routes: dict[str, SoakRoute]
 ) -> list[CrashCause]:
-    names = list(routes)
-    streams = names[2:]
+    """Choose the requests, and the parts, that crash upstreams."""
+    streams = [name for name, route in routes.items() if route.raw['affinity']]
     planned = []
-    for kind in ('crashrequest', 'crashpart'):
-        if kind not in options.kinds:
-            continue
-        for number in range(rng.choice((1, 1, 2))):
-            is_part = kind == 'crashpart'
-            name = rng.choice(streams if is_part else names)
-            begin_s = rng.uniform(0.15, 0.35) * options.seconds
-            planned.append(
-                CrashCause(
-                    key=f'{kind}-{number}',
-                    part=f'{rng.getrandbits(32):08x}' if is_part else '',
-                    body=b'' if is_part else rng.randbytes(60).hex().encode(),
-                    route=name,
-                    team=pick_team(rng),
-                    first_part=f'{rng.randrange(12):08x}'
-                    if name in streams
-                    else '',
-                    begin_s=begin_s,
-                    end_s=begin_s + rng.uniform(0.4, 0.6) * options.seconds,
-                    period_s=rng.uniform(0.3, 1.2),
-                )
-            )
+    for kind, names in (
+        ('crashrequest', list(routes)),
+        ('crashpart', streams),
+    ):
+        n_causes = rng.choice((1, 1, 2)) if kind in options.kinds else 0
+        for number in range(n_causes):
+            route = rng.choice(names)
+            cause = _plan_cause(options, rng, f'{kind}-{number}', route)
+            has_prompt = route in streams
+            first_part = f'{rng.randrange(N_GROUPS):08x}' if has_prompt else ''
+            planned.append(replace(cause, first_part=first_part))
     return planned
+
+
+def _plan_cause(
+    options: Options, rng: random.Random, key: str, route: str
+) -> CrashCause:
+    is_part = key.startswith('crashpart')
+    begin_s = rng.uniform(0.15, 0.35) * options.seconds
+    return CrashCause(
+        key=key,
+        part=f'{rng.getrandbits(32):08x}' if is_part else '',
+        body=b'' if is_part else rng.randbytes(60).hex().encode(),
+        route=route,
+        team=pick_team(rng),
+        first_part='',
+        begin_s=begin_s,
+        end_s=begin_s + rng.uniform(0.4, 0.6) * options.seconds,
+        period_s=rng.uniform(0.3, 1.2),
+    )
--- a/tests/soak/scene.py
+++ b/tests/soak/scene.py
@@ -20,12 +20,18 @@
 
 __all__ = (
     'ALL_KINDS',
+    'BOUNDS',
+    'HOST_NAME',
+    'N_GROUPS',
     'CrashCause',
     'Options',
     'Scene',
     'SoakRoute',
     'TroubleKind',
+    'make_key',
+    'make_request_id',
     'make_routes',
+    'pick_team',
 )
 
 ALL_KINDS = (
@@ -45,6 +51,10 @@
     'hasty',
 )
 TroubleKind = str
+BOUNDS = KALENDRA_BOUNDS
+HOST_NAME = HOST
+# Different first parts of prompts.
+N_GROUPS = 12
 _TEAMS = ('hule930', 'mavo114', 'tiru527', 'sebo660')
 # One kept id for all runs of a process: ids are never used twice.
 _numbers = itertools.count(1)
@@ -264,7 +274,3 @@
         raw['name']: SoakRoute(raw, *kind, raw['timeout-ms'])
         for raw, kind in zip(raw_routes, kinds, strict=True)
     }
-
-
-BOUNDS = KALENDRA_BOUNDS
-HOST_NAME = HOST
