--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -76,6 +76,7 @@
     crash_key: str = ''
     is_crash_part: bool = False
     last_event_id: int = 0
+    n_sent: int = 0
 
 
 _connections = itertools.count(1)
@@ -173,13 +174,11 @@
 
 async def _pursue(client: Client, intent: _Intent) -> None:
     """Send requests until one succeeds or time is up."""
-    n_repeats = 0
     most = _MAX_HASTY_REPEATS if client.is_hasty else _MAX_REPEATS
     while True:
         request, outcome = await _send_one(client, intent)
         left_s = intent.until_s - time.monotonic()
-        n_repeats += 1
-        if left_s <= 0.05 or n_repeats > most or client.scene.is_over:
+        if left_s <= 0.05 or intent.n_sent > most or client.scene.is_over:
             return
         if not _may_repeat(client, intent, request, outcome):
             return
@@ -235,8 +234,10 @@
         began_s=time.monotonic(),
         crash_key=intent.crash_key,
         is_crash_part=intent.is_crash_part,
+        is_repeat=intent.n_sent > 0,
         shared_keys=scene.find_shared_keys(client.team, intent.first_part),
     )
+    intent.n_sent += 1
     scene.run.requests.append(request)
     head = _make_head(client, intent, request)
     outcome = await send(
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -21,6 +21,7 @@
     make_routes,
     pick_team,
 )
+from tests.soak.sending_times import read_sending_times
 from tests.soak.stand_ins import Store, find_free_port, pick_host
 from tests.soak.troubles import play_troubles
 from tests.soak.upstream_requests import serve_connection
@@ -69,6 +70,7 @@
     finally:
         await _clear_away(control, upstreams)
     scene.run.requests.sort(key=lambda request: request.began_s)
+    read_sending_times(scene.run, folder, scene.ids_by_process)
     if scene.faults:
         raise RuntimeError(f'the soak itself has failed: {scene.faults[:3]}')
     return scene.run
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -73,6 +73,7 @@
         is_crash_part: Whether that reason is a part of the prompt.
         shared_keys: Team and first prompt part, shared with requests that
             crash upstreams; empty if it shares none.
+        is_repeat: Whether its client repeats an earlier request with it.
     """
 
     request_id: str
@@ -93,6 +94,7 @@
     crash_key: str = ''
     is_crash_part: bool = False
     shared_keys: frozenset[str] = frozenset()
+    is_repeat: bool = False
 
 
 @dataclass(slots=True)
@@ -112,6 +114,7 @@
             it did not.
         is_rejected: Whether the upstream rejected it.
         is_cut: Whether the node closed the connection before the response.
+        handed_s: When the node sent it, by the node's log; 0 if unknown.
     """
 
     request_id: str
@@ -125,6 +128,7 @@
     ended_s: float = 0
     is_rejected: bool = False
     is_cut: bool = False
+    handed_s: float = 0
 
 
 class NodeEventKind(enum.StrEnum):
--- a/tests/soak/scene.py
+++ b/tests/soak/scene.py
@@ -156,6 +156,7 @@
         tasks: Tasks to cancel at the end.
         faults: Errors of the soak itself.
         pids: Process ids of nodes by name.
+        ids_by_process: Ids of upstreams by the names of their processes.
         crash_rng: Says when a crashed upstream is back.
         start_rng: Says which signals a node gets at its start and end.
         is_over: Whether clients send no further requests.
@@ -174,6 +175,7 @@
     tasks: set[asyncio.Task] = field(default_factory=set)
     faults: list[str] = field(default_factory=list)
     pids: dict[str, int] = field(default_factory=dict)
+    ids_by_process: dict[str, str] = field(default_factory=dict)
     crash_rng: random.Random = field(default_factory=random.Random)
     start_rng: random.Random = field(default_factory=random.Random)
     is_over: bool = False
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -83,6 +83,7 @@
     upstream.process = f'{upstream.name}.{upstream.n_starts}'
     if not keeps_id:
         upstream.upstream_id = f'i-{upstream.process}'
+    scene.ids_by_process[upstream.process] = upstream.upstream_id
     upstream.born_ms = int(time.time() * 1000)
     upstream.running.set()
     upstream.places = asyncio.Semaphore(upstream.slots)
