--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,6 +17,14 @@
 
 __all__ = ('judge', 'main')
 
+_NUMBERS = (
+    'n_nodes',
+    'n_clients',
+    'n_engines',
+    'think_s',
+    'longest_pause_s',
+    'crash_period_s',
+)
 _JUDGES = ('judge_lost', 'judge_budget')
 
 
@@ -45,7 +53,7 @@
     )
     given = {
         name: getattr(arguments, name)
-        for name in ('n_nodes', 'n_clients', 'think_s', 'longest_pause_s')
+        for name in _NUMBERS
         if getattr(arguments, name) is not None
     }
     options = dataclasses.replace(options, **given)
@@ -70,10 +78,9 @@
         '--kinds', default='', help=f'all, or some of {",".join(ALL_KINDS)}'
     )
     parser.add_argument('--folder', type=pathlib.Path)
-    parser.add_argument('--n-nodes', type=int)
-    parser.add_argument('--n-clients', type=int)
-    parser.add_argument('--think-s', type=float)
-    parser.add_argument('--longest-pause-s', type=float)
+    for name in _NUMBERS:
+        kind = int if name.startswith('n_') else float
+        parser.add_argument(f'--{name.replace("_", "-")}', type=kind)
     return parser.parse_args()
 
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -199,5 +199,5 @@
         first_part='',
         begin_s=begin_s,
         end_s=begin_s + rng.uniform(0.4, 0.6) * options.seconds,
-        period_s=rng.uniform(0.3, 1.2),
+        period_s=rng.uniform(0.4, 1.6) * options.crash_period_s,
     )
--- a/tests/soak/scene.py
+++ b/tests/soak/scene.py
@@ -74,6 +74,8 @@
         n_plain: Upstreams that don't.
         think_s: Mean pause of a client between two requests.
         longest_pause_s: Longest pause of an upstream.
+        crash_period_s: Mean time between two requests of one cause that
+            crash upstreams, without repeats.
     """
 
     seed: int
@@ -85,6 +87,7 @@
     n_plain: int = 3
     think_s: float = 0.4
     longest_pause_s: float = 2.5
+    crash_period_s: float = 0.75
 
 
 @dataclass(slots=True)
