--- /dev/null
+++ b/tests/soak/upstreams.py
@@ -0,0 +1,199 @@
+"""Upstreams of a soak run, in the soak's own process."""
+
+import asyncio
+import socket
+import struct
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from tests.soak.record import UpstreamEvent, UpstreamEventKind
+from tests.soak.scene import Scene
+
+__all__ = (
+    'Upstream',
+    'crash',
+    'pause',
+    'reset',
+    'start_upstream',
+)
+
+_READ_LIMIT_BYTES = 1 << 20
+_EXPIRY_S = 3.6
+_LINGER_NOT = struct.pack('ii', 1, 0)
+
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class Upstream:
+    """An upstream and its present process.
+
+    Attributes:
+        name: Its name, which stays.
+        service: Its service.
+        data_centre: Where it is.
+        host: Its address.
+        port: Its port.
+        slots: Requests that it runs at the same time.
+        queue: Requests that it queues besides.
+        work_s: Time that a request takes.
+        n_events: Events of a stream; 0 for a plain response.
+        process: Name of its present process; new at each start.
+        upstream_id: Id under which it is registered.
+        born_ms: When its present process started, in Unix ms.
+        n_starts: Starts so far.
+        is_up: Whether it listens.
+        running: Unset while it is paused.
+        places: Its slots.
+        n_present: Requests that run or wait.
+        server: Its server.
+        writers: Its connections.
+        serve: Serves a connection.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    host: str
+    port: int
+    slots: int
+    queue: int
+    work_s: float
+    n_events: int = 0
+    process: str = ''
+    upstream_id: str = ''
+    born_ms: int = 0
+    n_starts: int = 0
+    is_up: bool = False
+    running: asyncio.Event = field(default_factory=asyncio.Event)
+    places: asyncio.Semaphore = field(default_factory=asyncio.Semaphore)
+    n_present: int = 0
+    server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    serve: Serve | None = None
+
+
+async def start_upstream(
+    scene: Scene, upstream: Upstream, *, keeps_id: bool = False
+) -> None:
+    """Start an upstream under a new process name and register it."""
+    upstream.n_starts += 1
+    upstream.process = f'{upstream.name}.{upstream.n_starts}'
+    if not keeps_id:
+        upstream.upstream_id = f'i-{upstream.process}'
+    scene.ids_by_process[upstream.process] = upstream.upstream_id
+    upstream.born_ms = int(time.time() * 1000)
+    upstream.running.set()
+    upstream.places = asyncio.Semaphore(upstream.slots)
+    upstream.n_present = 0
+    upstream.server = await asyncio.start_server(
+        upstream.serve,
+        upstream.host,
+        upstream.port,
+        limit=_READ_LIMIT_BYTES,
+        backlog=256,
+    )
+    upstream.is_up = True
+    _note(scene, upstream, UpstreamEventKind.started)
+    while scene.store.is_away:
+        await asyncio.sleep(0.05)
+    scene.store.put('servers', upstream.upstream_id, _make_entry(upstream))
+
+
+async def pause(scene: Scene, upstream: Upstream, seconds: float) -> None:
+    """Neither read nor respond for some time; connections are accepted."""
+    if not upstream.is_up or not upstream.running.is_set():
+        return
+    process = upstream.process
+    upstream.running.clear()
+    _note(scene, upstream, UpstreamEventKind.paused)
+    for writer in upstream.writers:
+        writer.transport.pause_reading()
+    await asyncio.sleep(seconds)
+    if upstream.process != process or upstream.running.is_set():
+        return
+    _note(scene, upstream, UpstreamEventKind.resumed)
+    upstream.running.set()
+    for writer in upstream.writers:
+        if not writer.transport.is_closing():
+            writer.transport.resume_reading()
+
+
+def reset(scene: Scene, upstream: Upstream) -> None:
+    """Reset all connections."""
+    if upstream.is_up:
+        _note(scene, upstream, UpstreamEventKind.reset)
+        _abort_all(upstream, with_reset=True)
+
+
+async def crash(
+    scene: Scene,
+    upstream: Upstream,
+    away_s: float,
+    *,
+    crash_key: str = '',
+    keeps_id: bool = False,
+) -> None:
+    """End the process of an upstream; start it again some seconds later."""
+    if not upstream.is_up:
+        return
+    upstream.is_up = False
+    _note(scene, upstream, UpstreamEventKind.crashed, crash_key)
+    upstream.server.close()
+    _abort_all(upstream, with_reset=False)
+    upstream.running.set()
+    scene.start_task(
+        _expire(scene, upstream, upstream.process, upstream.upstream_id)
+    )
+    await asyncio.sleep(away_s)
+    await start_upstream(scene, upstream, keeps_id=keeps_id)
+
+
+async def _expire(
+    scene: Scene, upstream: Upstream, process: str, upstream_id: str
+) -> None:
+    """Remove the entry of a crashed process, unless its id is used again."""
+    await asyncio.sleep(_EXPIRY_S)
+    while scene.store.is_away:
+        await asyncio.sleep(0.05)
+    is_again = upstream.upstream_id == upstream_id
+    if upstream.process == process or not is_again:
+        scene.store.delete('servers', upstream_id)
+
+
+def _abort_all(upstream: Upstream, *, with_reset: bool) -> None:
+    aborted = list(upstream.writers)
+    upstream.writers.clear()
+    for writer in aborted:
+        if with_reset:
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT
+            )
+        writer.transport.abort()
+
+
+def _note(
+    scene: Scene,
+    upstream: Upstream,
+    kind: UpstreamEventKind,
+    crash_key: str = '',
+) -> None:
+    scene.run.upstream_events.append(
+        UpstreamEvent(time.monotonic(), upstream.process, kind, crash_key)
+    )
+
+
+def _make_entry(upstream: Upstream) -> dict[str, object]:
+    return {
+        'service': upstream.service,
+        'address': f'{upstream.host}:{upstream.port}',
+        'zone': upstream.data_centre,
+        'version': 'v1',
+        'slots': upstream.slots,
+        'state': 'ready',
+        'cold-left-ms': 0,
+        'seq': 1,
+        'born': upstream.born_ms,
+    }
