Decide the steps of a drain by the clock, and end it with the last connection

Callers saw: a request cut at the end of the grace period that had come over 3 s after SIGTERM; a request that was being read, or a connection that waited to be accepted, when the process ended. Cause: requests were rejected from the moment at which a task set a flag, which it did late while the event loop was held up; the drain ended when no request had been in flight for a second, and a request counted only once its body was read; closing the listening socket resets what waits there. Ruled out: the first steps (readiness, addresses); they need no task to wake. Change: the handler of the signal itself notes from when requests are rejected, and each request compares that with the clock. A request counts from its first byte. After a second without any, the node accepts what waits, stops listening and waits for its connections to close, all of it bounded by the latest time. A client that has just connected gets 0.25 s for its first request. Before: no response to a request in the middle of its body; 404 instead of 503 to a request read 3 s after the signal (the new tests). After: 503 both, and 503 to a connection that waits when listening ends (that test can't run on the code before, which never stops listening). Conclusion: no step lets requests in because a task is late, and the process ends with nothing unread of what it accepted, except at the latest time.

--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -3,9 +3,10 @@
 import random
 import signal
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from functools import partial
+from types import FrameType
 
 import trio
 from turmericcrank_core.event_codes import EventCode
@@ -24,7 +25,11 @@
     handle_health_check,
     handle_metrics_scrape,
 )
-from turmericcrank_node.serving.request_reading import ConnectionHandlers
+from turmericcrank_node.serving.request_reading import (
+    ConnectionHandlers,
+    cancel_on,
+    has_arrived,
+)
 from turmericcrank_node.serving.router import handle_request, reject_body
 from turmericcrank_node.state.node_state import NodeState
 from turmericcrank_node.state.router_metrics import make_metrics
@@ -40,6 +45,8 @@
 _KILL_MARGIN_S = 0.4
 _DRAIN_POLL_S = 0.05
 _SETTINGS_POLL_S = 2
+_ACCEPT_WAITING_S = 0.2
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def make_state(settings: RouterSettings, platform: Platform) -> NodeState:
@@ -113,11 +120,38 @@
         listeners = await trio.open_tcp_listeners(
             port, host=host, backlog=_BACKLOG
         )
-        await trio.serve_listeners(
-            partial(_serve_connection, state, handlers),
-            listeners,
-            handler_nursery=nursery,
-        )
+        serve = partial(_serve_connection, state, handlers)
+        # The listening sockets stay open when the accepting task ends.
+        kept = [trio.SocketListener(one.socket.dup()) for one in listeners]
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                cancel_on, state.must_stop_listening, accepting.cancel_scope
+            )
+            await trio.serve_listeners(
+                serve, listeners, handler_nursery=nursery
+            )
+        for listener in kept:
+            await _accept_waiting(state, serve, listener, nursery)
+
+
+async def _accept_waiting(
+    state: NodeState,
+    serve: Callable[[trio.SocketStream], Awaitable[None]],
+    listener: trio.SocketListener,
+    nursery: trio.Nursery,
+) -> None:
+    """Accept the connections that wait, then stop listening.
+
+    Closing a listening socket resets the connections that wait on it.
+    """
+    with listener.socket, trio.move_on_after(_ACCEPT_WAITING_S):
+        while has_arrived(listener.socket):
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                state.log.write(EventCode.internal_fault, detail=repr(error))
+                return
+            nursery.start_soon(serve, stream)
 
 
 async def _serve_connection(
@@ -139,9 +173,10 @@
 
 async def _drain_on_signal(state: NodeState) -> None:
     """Wait for a termination signal, then drain the node."""
-    with trio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
+    with trio.open_signal_receiver(*_STOP_SIGNALS, signal.SIGHUP) as signals:
+        for number in _STOP_SIGNALS:
+            notify = partial(_plan_rejections, state, signal.getsignal(number))
+            signal.signal(number, notify)
         await _handle_signals(state, signals)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_ignore_signals, state, signals)
@@ -149,6 +184,18 @@
             nursery.cancel_scope.cancel()
 
 
+def _plan_rejections(
+    state: NodeState,
+    notify: Callable[[int, FrameType | None], None],
+    number: int,
+    frame: FrameType | None,
+) -> None:
+    """Handle the first termination signal, even if no task can run now."""
+    if state.rejects_from_s is None:
+        state.rejects_from_s = trio.current_time() + _REJECT_DELAY_S
+    notify(number, frame)
+
+
 async def _handle_signals(
     state: NodeState, signals: AsyncIterator[int]
 ) -> None:
@@ -196,29 +243,30 @@
 
     First the node is no longer ready, so clients stop getting its address,
     but it still serves requests; after a delay it rejects requests and closes
-    idle connections. The drain ends once no request has been in flight for a
-    second, or shortly before the process would be killed.
+    idle connections. Once no request has been in flight for a second, it stops
+    listening; the drain ends with the last connection, or shortly before the
+    process would be killed.
     """
     state.is_stopping = True
     state.request_gossip()
-    state.log.write(EventCode.drain_started, n_requests=state.n_requests)
-    drain_began_s = trio.current_time()
-    await trio.sleep(_REJECT_DELAY_S)
-    state.is_rejecting_requests = True
+    drain_began_s = state.rejects_from_s - _REJECT_DELAY_S
+    state.log.write(
+        EventCode.drain_started,
+        n_requests=state.n_requests,
+        late_s=_late_s(drain_began_s),
+    )
+    await trio.sleep_until(state.rejects_from_s)
     state.closing.set()
     state.log.write(
         EventCode.drain_left_addresses,
         n_requests=state.n_requests,
-        late_s=_late_s(drain_began_s + _REJECT_DELAY_S),
+        late_s=_late_s(state.rejects_from_s),
     )
     deadline_s = drain_began_s + state.settings.bounds.grace_s - _KILL_MARGIN_S
-    idle_since_s = trio.current_time()
-    while trio.current_time() < deadline_s:
-        await trio.sleep(_DRAIN_POLL_S)
-        if state.n_requests:
-            idle_since_s = trio.current_time()
-        elif trio.current_time() - idle_since_s > 1:
-            break
+    with trio.move_on_at(deadline_s):
+        await _wait_until_idle(state)
+        state.must_stop_listening.set()
+        await _wait_until_closed(state)
     state.log.write(
         EventCode.drain_ended,
         n_requests=state.n_requests,
@@ -229,6 +277,25 @@
     )
 
 
+async def _wait_until_idle(state: NodeState) -> None:
+    """Wait until no request has been read or in flight for a second."""
+    idle_since_s = trio.current_time()
+    while trio.current_time() - idle_since_s <= 1:
+        await trio.sleep(_DRAIN_POLL_S)
+        if state.n_requests or state.connections.n_reading:
+            idle_since_s = trio.current_time()
+
+
+async def _wait_until_closed(state: NodeState) -> None:
+    """Wait until the connections that were accepted are closed."""
+    # A connection that has just been accepted counts from the next turn on.
+    n_idle_polls = 0
+    while n_idle_polls < 2:
+        await trio.sleep(_DRAIN_POLL_S)
+        is_busy = state.n_requests or state.connections.n_open
+        n_idle_polls = 0 if is_busy else n_idle_polls + 1
+
+
 def _late_s(planned_s: float) -> float:
     """Return how long ago a step was due; 0 if it is early."""
     return round(max(0, trio.current_time() - planned_s), 3)
--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -29,10 +29,14 @@
     'ClientConnection',
     'ClientRequest',
     'ConnectionHandlers',
+    'cancel_on',
+    'has_arrived',
     'read_request',
 )
 
 READ_BYTES = 65536
+# Time for the first request of a client that connects while the node drains.
+_FIRST_REQUEST_S = 0.25
 _TIMED_OUT = object()
 
 
@@ -98,6 +102,7 @@
         reserved_bytes: Bytes that the body of the current request reserved.
         idle_end: Why the connection is closed though no request was read:
             ``drain`` or ``idle timeout``; empty in any other case.
+        opened_s: When it was opened, on trio's clock.
     """
 
     stream: trio.SocketStream
@@ -105,6 +110,7 @@
     pipelined: list[bytes] = field(default_factory=list)
     reserved_bytes: int = 0
     idle_end: str = ''
+    opened_s: float = field(default_factory=trio.current_time)
 
 
 async def read_request(
@@ -277,11 +283,13 @@
     """
     received = None
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_cancel_on, handlers.closing, nursery.cancel_scope)
+        nursery.start_soon(
+            _cancel_at_drain, handlers, connection, nursery.cancel_scope
+        )
         with trio.move_on_after(idle_s):
             received = await _receive(connection)
         nursery.cancel_scope.cancel()
-    if received is None and _has_arrived(connection):
+    if received is None and has_arrived(connection.stream.socket):
         received = await _receive(connection)
     if received is None:
         _end_sending(connection)
@@ -300,10 +308,10 @@
         return b''
 
 
-def _has_arrived(connection: ClientConnection) -> bool:
-    """Return whether bytes, or the end of the connection, can be read now."""
+def has_arrived(sock: trio.socket.SocketType) -> bool:
+    """Return whether bytes, an end or a new connection wait on a socket."""
     poll = select.poll()
-    poll.register(connection.stream.socket.fileno(), select.POLLIN)
+    poll.register(sock.fileno(), select.POLLIN)
     return bool(poll.poll(0))
 
 
@@ -313,11 +321,23 @@
         connection.stream.socket.shutdown(socket.SHUT_WR)
 
 
-async def _cancel_on(event: trio.Event, scope: trio.CancelScope) -> None:
+async def cancel_on(event: trio.Event, scope: trio.CancelScope) -> None:
+    """Cancel a scope once an event is set."""
     await event.wait()
     scope.cancel()
 
 
+async def _cancel_at_drain(
+    handlers: ConnectionHandlers,
+    connection: ClientConnection,
+    scope: trio.CancelScope,
+) -> None:
+    """Stop waiting when the node drains, but not at once after opening."""
+    await handlers.closing.wait()
+    await trio.sleep_until(connection.opened_s + _FIRST_REQUEST_S)
+    scope.cancel()
+
+
 async def _reject(connection: ClientConnection, status: int) -> None:
     """Send an empty error response to an invalid or oversized request."""
     if connection.parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
--- a/packages/node/src/turmericcrank_node/state/node_state.py
+++ b/packages/node/src/turmericcrank_node/state/node_state.py
@@ -194,8 +194,11 @@
     evidence: EvidenceState = field(default_factory=EvidenceState)
     # Written by router_node.
     is_stopping: bool = False
-    is_rejecting_requests: bool = False
+    # On trio's clock; compared when a request is handled, as a task that sets
+    # a flag may wake late.
+    rejects_from_s: float | None = None
     closing: trio.Event = field(default_factory=trio.Event)
+    must_stop_listening: trio.Event = field(default_factory=trio.Event)
     # Written by client_connection and request_reading.
     connections: ConnectionCounts = field(default_factory=ConnectionCounts)
     # Written by router and tunnel_server; tunnels count as requests.
@@ -213,6 +216,13 @@
         age_s = staleness_s(self.configuration_staleness, read_boottime_s())
         return age_s < self.settings.bounds.revoke_s * _REVOKE_FRACTION
 
+    @property
+    def is_rejecting_requests(self) -> bool:
+        """Return whether requests are rejected, since the node drains."""
+        if self.rejects_from_s is None:
+            return False
+        return trio.current_time() >= self.rejects_from_s
+
     @property
     def is_ready(self) -> bool:
         """Return whether this node accepts clients."""
--- a/tests/serving/test_connection_ends.py
+++ b/tests/serving/test_connection_ends.py
@@ -22,6 +22,7 @@
 _N_CLIENTS = 8
 _IDLE_S = 0.3
 _HELD_UP_S = 0.05
+_FIRST_REQUEST_S = 0.3
 
 
 def _make_state(idle_s):
@@ -71,9 +72,9 @@
         async with trio.open_nursery() as nursery:
             clients = await _open_clients(nursery, state)
             nursery.start_soon(_send_at_drain, state, clients, is_sent)
-            await trio.testing.wait_all_tasks_blocked()
+            await trio.sleep(_FIRST_REQUEST_S)
             state.is_stopping = True
-            state.is_rejecting_requests = True
+            state.rejects_from_s = trio.current_time()
             state.closing.set()
             await is_sent.wait()
             statuses = await _read_statuses(clients)
--- a/tests/serving/test_drain.py
+++ b/tests/serving/test_drain.py
@@ -2,13 +2,16 @@
 
 import os
 import signal
+import socket
+import time
 from dataclasses import replace
 
 import trio
+from turmericcrank_core.network_address import split_address
 from turmericcrank_node import router_node
 
 from tests.router_builders import make_route, make_table
-from tests.router_fakes import make_node_state
+from tests.router_fakes import make_node_state, read_until, request_bytes
 
 
 def _drain_node(*later, busy_s=0.0, grace_s=8.0):
@@ -69,3 +72,94 @@
 def test_drain_of_a_busy_node_ends_within_the_grace_period():
     _, _, total_s = _drain_node(busy_s=4.5, grace_s=4.0)
     assert total_s < 4.0 + 0.8
+
+
+async def _start_node(nursery, state):
+    """Serve clients at a free port; drain at a signal, then stop."""
+    with socket.socket() as free:
+        free.bind(('127.0.0.1', 0))
+        address = f'127.0.0.1:{free.getsockname()[1]}'
+
+    async def drain():
+        await router_node._drain_on_signal(state)
+        nursery.cancel_scope.cancel()
+
+    nursery.start_soon(
+        router_node._serve_clients, state, address, router_node.handle_request
+    )
+    nursery.start_soon(drain)
+    await trio.sleep(0.1)
+    return split_address(address)
+
+
+async def _ask_later(address, delay_s, heads):
+    """Send a request in two parts, the second after a delay."""
+    stream = await trio.open_tcp_stream(*address)
+    request = request_bytes('/unknown')
+    await stream.send_all(request[:-1])
+    await trio.sleep(delay_s)
+    await stream.send_all(request[-1:])
+    heads.append((await read_until(stream, b'\r\n'))[9:12])
+
+
+def test_lost_request_that_is_being_read_when_the_drain_would_end():
+    # Only requests whose body was read completely kept the drain going.
+    heads = []
+
+    async def main():
+        state = make_node_state(make_table(make_route()))
+        with trio.move_on_after(9):
+            async with trio.open_nursery() as nursery:
+                address = await _start_node(nursery, state)
+                os.kill(os.getpid(), signal.SIGTERM)
+                await trio.sleep(2)
+                await _ask_later(address, 2.5, heads)
+                await trio.sleep_forever()
+        return state
+
+    state = trio.run(main)
+    assert heads == [b'503']
+    _, ended = state.log.events[-1]
+    assert (ended['n_requests'], ended['n_reading']) == (0, 0)
+
+
+def test_lost_requests_are_rejected_by_the_time_of_the_signal():
+    # A step of the drain that was handled late let requests in.
+    heads = []
+
+    async def main():
+        state = make_node_state(make_table(make_route()))
+        with trio.move_on_after(9):
+            async with trio.open_nursery() as nursery:
+                address = await _start_node(nursery, state)
+                stream = await trio.open_tcp_stream(*address)
+                os.kill(os.getpid(), signal.SIGTERM)
+                time.sleep(3)
+                await stream.send_all(request_bytes('/unknown'))
+                heads.append((await read_until(stream, b'\r\n'))[9:12])
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert heads == [b'503']
+
+
+def test_lost_connection_that_waits_to_be_accepted_when_listening_ends():
+    # A listening socket that is closed resets the connections that wait.
+    heads = []
+
+    async def main():
+        state = make_node_state(make_table(make_route()))
+        with trio.move_on_after(9):
+            async with trio.open_nursery() as nursery:
+                address = await _start_node(nursery, state)
+                os.kill(os.getpid(), signal.SIGTERM)
+                await state.must_stop_listening.wait()
+                with socket.create_connection(address) as client:
+                    client.send(request_bytes('/unknown'))
+                    client.setblocking(False)
+                    await trio.lowlevel.wait_readable(client)
+                    heads.append(client.recv(100)[9:12])
+                await trio.sleep_forever()
+
+    trio.run(main)
+    assert heads == [b'503']
--- a/tests/serving/test_request_acceptance.py
+++ b/tests/serving/test_request_acceptance.py
@@ -117,7 +117,7 @@
 
 def test_a_node_that_rejects_requests_sends_nothing_to_upstreams():
     state = _make_state()
-    state.is_rejecting_requests = True
+    state.rejects_from_s = 0
     received, n_requests = _send_request(state)
     assert received.startswith(b'HTTP/1.1 503')
     assert n_requests == 0
