--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -1,9 +1,28 @@
 """What arrives while the process starts."""
 
+import json
 import os
 import subprocess
 import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
 
+import trio
+from turmericcrank_platform import program
+from turmericcrank_platform.settings import SETTINGS_VARIABLE
+
+_SETTINGS = {
+    'node': 'n1',
+    'ip': '127.0.0.1',
+    'zone': 'dc1',
+    'listen': {
+        'front': '127.0.0.1:1',
+        'ready': '127.0.0.1:2',
+        'control': '127.0.0.1:3',
+    },
+    'platform': {'address': '127.0.0.1:4'},
+    'bounds': {},
+}
 _EARLY_MODULE = """
 import os
 import signal
@@ -27,3 +46,18 @@
         check=False,
     )
     assert (run.returncode, run.stdout) == (0, 'still runs\n')
+
+
+def test_lost_start_while_the_settings_are_being_written(tmp_path, monkeypatch):
+    # A file that was empty or half written ended the process with code 2.
+    path = tmp_path / 'settings.json'
+    whole = json.dumps(_SETTINGS)
+    path.write_text(whole[:40])
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    monkeypatch.setattr(trio, 'run', lambda *_: None)
+    with ThreadPoolExecutor() as pool:
+        running = pool.submit(program.main)
+        for text in ('', whole):
+            time.sleep(0.2)
+            path.write_text(text)
+        assert running.result() == 0
