Log why a broken connection does not count as a crash

Change: event 214 (`crash_not_recorded`) with the fault and the cause, once per failed attempt, under the rate limit of all events (106). `detect_crash` moves from `poison_detection` to a module of its own, `crash_detection`. No logic changes. Before: attempt_failed (209) with `reset`, and nothing else. After: the test of a reset by a live upstream finds 214 with `reset` and `takes` for each of its two attempts.

--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -31,6 +31,7 @@
     stream_broken = 211
     attempt_ended = 212
     retry_refused = 213
+    crash_not_recorded = 214
     claim_won = 300
     claim_conflict = 301
     claim_undecided = 302
--- a/packages/node/src/turmericcrank_node/serving/in_flight_request.py
+++ b/packages/node/src/turmericcrank_node/serving/in_flight_request.py
@@ -24,10 +24,11 @@
 from turmericcrank_node.upstreams.crash_block_checks import (
     is_blocked,
 )
-from turmericcrank_node.upstreams.poison_detection import (
+from turmericcrank_node.upstreams.crash_detection import (
     detect_crash,
-    record_in_flight,
+    log_no_crash,
 )
+from turmericcrank_node.upstreams.poison_detection import record_in_flight
 from turmericcrank_node.upstreams.request_limits import acquire_permit
 from turmericcrank_node.upstreams.retry_permits import (
     acquire_retry,
@@ -232,9 +233,13 @@
 
     After the deadline of the request nothing is checked.
     """
-    if isinstance(outcome, AttemptFault) and time_left_s(in_flight) > 0:
-        attempts = state.attempts_by_upstream.get(upstream.upstream_id, {})
-        await detect_crash(state, upstream, outcome, dict(attempts))
+    if not isinstance(outcome, AttemptFault):
+        return
+    attempts = dict(state.attempts_by_upstream.get(upstream.upstream_id, {}))
+    if time_left_s(in_flight) > 0:
+        await detect_crash(state, upstream, outcome, attempts)
+    elif outcome.kind is FaultKind.unknown:
+        log_no_crash(state, upstream, outcome, 'deadline', len(attempts))
 
 
 def is_slow_response(
--- a/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
@@ -1,8 +1,7 @@
-"""Detects what crashes upstreams, and stops requests that carry it.
+"""Records what crashes upstreams, and stops requests that carry it.
 
-A broken connection counts as a crash only if the upstream accepts no
-further connections. The requests of this node that waited there without any
-output are suspects. Nodes report crashes, and output that clears suspects, to
+The requests of this node that waited without any output at an upstream that
+crashed are suspects. Nodes report crashes, and output that clears suspects, to
 each other, so that all of them judge by the same evidence.
 """
 
@@ -20,7 +19,6 @@
 )
 from turmericcrank_core.crash_evidence import CrashRecord, Suspect
 from turmericcrank_core.event_codes import EventCode
-from turmericcrank_core.upstream_registry import ListedUpstream
 
 from turmericcrank_node.platform_port import DecodedRequest
 from turmericcrank_node.state.crash_reports import Audience, PendingReport
@@ -34,15 +32,9 @@
     NodeState,
     read_cluster_time_s,
 )
-from turmericcrank_node.upstreams.attempt import (
-    AttemptFault,
-    FaultKind,
-)
-from turmericcrank_node.upstreams.host_probe import HostStatus, probe_host
 
 __all__ = (
     'announce_blocks',
-    'detect_crash',
     'judge_crashes',
     'fingerprint_request',
     'make_part_key',
@@ -57,7 +49,6 @@
     'record_response',
 )
 
-_CRASH_STATUSES = frozenset((HostStatus.refuses, HostStatus.silent))
 _KEY_DIGITS = 12
 _MAX_LOGGED = 16
 
@@ -124,27 +115,6 @@
         _record_proof(state, attempt.suspect.keys, attempt.first_output_s)
 
 
-async def detect_crash(
-    state: NodeState,
-    upstream: ListedUpstream,
-    fault: AttemptFault,
-    attempts_by_request: Mapping[str, InFlightAttempt],
-) -> None:
-    """Check whether a broken connection was a crash, and record it if so.
-
-    Args:
-        state: The node.
-        upstream: Upstream whose connection broke.
-        fault: Fault of the attempt.
-        attempts_by_request: Attempts that were in flight there, by request.
-    """
-    if fault.kind is not FaultKind.unknown or fault.is_unresponsive:
-        return
-    if await probe_host(state, upstream) not in _CRASH_STATUSES:
-        return
-    record_crash(state, upstream.upstream_id, fault.reason, attempts_by_request)
-
-
 def record_crash(
     state: NodeState,
     upstream_id: str,
--- a/tests/serving/test_poison_requests.py
+++ b/tests/serving/test_poison_requests.py
@@ -109,7 +109,14 @@
             nursery.cancel_scope.cancel()
         return state
 
-    assert not trio.run(main).crash_guard.history.crashes
+    state = trio.run(main)
+    assert not state.crash_guard.history.crashes
+    causes = [
+        (fields['reason'], fields['cause'])
+        for name, fields in state.log.events
+        if name == 'crash_not_recorded'
+    ]
+    assert causes == [('reset', 'takes')] * 2
 
 
 def test_a_reset_is_no_crash_while_no_host_is_reachable():
