--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -33,6 +33,7 @@
     attempt_ended = 212
     retry_refused = 213
     connection_discarded = 214
+    crash_not_recorded = 215
     claim_won = 300
     claim_conflict = 301
     claim_undecided = 302
