--- a/tests/serving/test_passed_deadlines.py
+++ b/tests/serving/test_passed_deadlines.py
@@ -21,12 +21,20 @@
 
 
 class _SlowLog(FakeLog):
-    """Holds the process up when a request is about to be sent."""
+    """Holds the process up when a request is about to be sent.
+
+    Attributes:
+        client: Client that leaves meanwhile, if there is one.
+    """
+
+    client = None
 
     def write(self, event, /, **fields):
         super().write(event, **fields)
         if event.name == 'request_sent':
             time.sleep(_DEADLINE_S * 1.2)
+            if self.client is not None:
+                self.client.socket.close()
 
 
 @pytest.mark.parametrize(
@@ -54,3 +62,26 @@
     assert received.startswith(b'HTTP/1.1 50')
     assert not received.startswith(b'HTTP/1.1 500')
     assert not arrived
+
+
+@pytest.mark.parametrize('kind', [CallKind.idempotent, CallKind.stream])
+def test_lost_no_connection_when_its_client_leaves_at_the_deadline(kind):
+    """The error passed by the handler of internal faults."""
+
+    async def main():
+        state = make_node_state(make_table(make_route('bays', kind)))
+        state.log = _SlowLog()
+        async with trio.open_nursery() as nursery:
+            await start_upstreams(nursery, state, [[response_bytes()]])
+            client = await open_client(nursery, state)
+            state.log.client = client
+            await client.send_all(
+                request_bytes('/bays/1', wait=str(_DEADLINE_S))
+            )
+            await trio.sleep(_DEADLINE_S * 3)
+            nursery.cancel_scope.cancel()
+        return state
+
+    state = trio.run(main)
+    assert 'request_sent' in state.log.names()
+    assert 'internal_fault' not in state.log.names()
