Send no body in response to a HEAD request

Callers saw: a connection that ended without a response to a HEAD request that the node refused (unknown route, bad key, draining, no upstream). Cause: the text of the refusal was sent as the body, which h11 rejects. Ruled out: responses of upstreams, which have no body here. Change: the exchange knows that the request is a HEAD request and sends the length only. Before: no response, 2 of 2 (the new test). After: status 404, 2 of 2 on one connection. Conclusion: h11 expects exactly what is sent now.

--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -68,7 +68,10 @@
 ) -> bool:
     """Handle one request; return whether the connection can be reused."""
     exchange = ClientExchange(
-        connection.stream, connection.parser, handlers.is_closing()
+        connection.stream,
+        connection.parser,
+        handlers.is_closing(),
+        request.method == b'HEAD',
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
--- a/packages/node/src/turmericcrank_node/serving/client_exchange.py
+++ b/packages/node/src/turmericcrank_node/serving/client_exchange.py
@@ -23,6 +23,8 @@
         stream: Client socket.
         parser: HTTP protocol state of the connection.
         is_last: Whether the connection closes after this response.
+        is_head: Whether the request is a HEAD request, so that the response
+            has a length but no body.
         is_started: Whether the response head has been sent.
         is_complete: Whether the response has been sent to its end.
         status: Status code of the response; 0 before its head is sent.
@@ -33,6 +35,7 @@
     stream: trio.SocketStream
     parser: h11.Connection
     is_last: bool = False
+    is_head: bool = False
     is_started: bool = False
     is_complete: bool = False
     status: int = 0
@@ -67,7 +70,7 @@
         """Send a complete response; a large body is not copied."""
         length = (b'content-length', str(len(body)).encode())
         parts = [self._write_head(status, [*headers, length])]
-        if body:
+        if body and not self.is_head:
             parts += self.parser.send_with_data_passthrough(h11.Data(data=body))
         parts.append(self.parser.send(h11.EndOfMessage()) or b'')
         if len(body) <= MAX_COPIED_BYTES:
--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -217,7 +217,9 @@
     request: ClientRequest,
 ) -> None:
     """Reject a request before its body is read to the end."""
-    exchange = ClientExchange(connection.stream, connection.parser, True)
+    exchange = ClientExchange(
+        connection.stream, connection.parser, True, request.method == b'HEAD'
+    )
     await handlers.reject_body(request, exchange)
 
 
--- a/tests/serving/test_connection_ends.py
+++ b/tests/serving/test_connection_ends.py
@@ -116,3 +116,22 @@
         return received
 
     assert trio.run(main) == b''
+
+
+def test_lost_response_to_a_head_request_that_is_refused():
+    # The text of the refusal was sent as a body, which ended the connection.
+    async def main():
+        state = _make_state(idle_s=15)
+        async with trio.open_nursery() as nursery:
+            client = await open_client(nursery, state)
+            heads = []
+            for _ in range(2):
+                await client.send_all(
+                    request_bytes('/unknown', method='HEAD', body=b'')
+                )
+                heads.append(await read_until(client, b'\r\n\r\n', 1))
+            nursery.cancel_scope.cancel()
+        return heads
+
+    heads = trio.run(main)
+    assert [head[:12] for head in heads] == [b'HTTP/1.1 404'] * 2
