Stop listening before the latest time of a drain too

Cause: a node that clients kept asking never had a second without requests; it went on accepting until the moment at which the process ended. Ruled out: a node without requests, which stops listening after a second. Change: it stops listening 0.3 s before the latest time in any case. Conclusion: what was accepted gets its response also at the latest time.

--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -46,6 +46,7 @@
 _DRAIN_POLL_S = 0.05
 _SETTINGS_POLL_S = 2
 _ACCEPT_WAITING_S = 0.2
+_LAST_RESPONSES_S = 0.3
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -263,9 +264,10 @@
         late_s=_late_s(state.rejects_from_s),
     )
     deadline_s = drain_began_s + state.settings.bounds.grace_s - _KILL_MARGIN_S
-    with trio.move_on_at(deadline_s):
+    with trio.move_on_at(deadline_s - _LAST_RESPONSES_S):
         await _wait_until_idle(state)
-        state.must_stop_listening.set()
+    state.must_stop_listening.set()
+    with trio.move_on_at(deadline_s):
         await _wait_until_closed(state)
     state.log.write(
         EventCode.drain_ended,
