Keep unfinished heads within the room for bodies

Callers would see: a node of 150 MB is ended by the platform, with all that it was doing, when many connections hold an unfinished head while bodies come too. Cause: a head was bounded for each connection, not together, and in no budget. Ruled out: heads alone (3,900 of 16 KiB: 119 MB), pipelined bytes. Change: a head is reserved from 4 KiB on, up to three quarters of the room; one without room gets 503 and the end of its connection, as not run. The test: fails, nothing was reserved. Why it works: outside the budget each connection now has one part of 4 KiB.

--- a/packages/core/src/turmericcrank_core/inbound/byte_budget.py
+++ b/packages/core/src/turmericcrank_core/inbound/byte_budget.py
@@ -30,7 +30,6 @@
 _BODY_FRACTION = 0.45
 _SMALL_BODY_BYTES = 65536
 _SMALL_BODY_FRACTION = 0.2
-_SPARE_FRACTION = 0.5
 
 
 @dataclass(slots=True)
@@ -119,14 +118,16 @@
     return True
 
 
-def hold_spare_bytes(hold: ByteHold, n_bytes: int) -> bool:
-    """Reserve or release as ``hold_bytes``, but leave half of the room free.
+def hold_spare_bytes(
+    hold: ByteHold, n_bytes: int, used_fraction: float
+) -> bool:
+    """Reserve or release as ``hold_bytes``, but only up to a part of the room.
 
     For bytes that may as well stay with the sender, such as those of requests
     that can't be handled yet.
     """
     n_added = n_bytes - hold.n_bytes
-    spare_bytes = hold.budget.max_bytes * _SPARE_FRACTION
+    spare_bytes = hold.budget.max_bytes * used_fraction
     if n_added > 0 and hold.budget.reserved_bytes + n_added > spare_bytes:
         return False
     hold.budget.reserved_bytes += n_added
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -31,6 +31,8 @@
 
 _CLOSE_WAIT_S = 1
 _MAX_PIPELINED_BYTES = 65536
+# The rest of the room is left to bodies and responses.
+_PIPELINED_FRACTION = 0.5
 
 
 async def serve_client_connection(
@@ -120,7 +122,8 @@
     """Reserve room for what was pipelined; return whether to read on."""
     n_parsed = len(connection.parser.trailing_data[0])
     n_bytes = n_parsed + len(connection.pipelined)
-    has_room = hold_spare_bytes(connection.pipelined_hold, n_bytes)
+    hold = connection.pipelined_hold
+    has_room = hold_spare_bytes(hold, n_bytes, _PIPELINED_FRACTION)
     return has_room and n_bytes < _MAX_PIPELINED_BYTES
 
 
--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -7,7 +7,12 @@
 
 import h11
 import trio
-from turmericcrank_core.inbound import ByteBudget, ByteHold, reserve_bytes
+from turmericcrank_core.inbound import (
+    ByteBudget,
+    ByteHold,
+    hold_spare_bytes,
+    reserve_bytes,
+)
 from turmericcrank_core.routing import ClientLimits
 
 from turmericcrank_node.http_connection import (
@@ -29,7 +34,10 @@
 READ_BYTES = 65536
 # Read at a time where what follows may belong to a later request.
 PART_BYTES = 4096
+# The rest of the room is left to small bodies and responses.
+_HEADS_FRACTION = 0.75
 _TIMED_OUT = object()
+_NO_ROOM = object()
 
 
 @dataclass(slots=True, frozen=True)
@@ -86,7 +94,8 @@
         stream: Client socket.
         parser: HTTP protocol state.
         pipelined: Bytes received while a request was being handled.
-        pipelined_hold: Room for these, also once the parser has them.
+        pipelined_hold: Room for these, also once the parser has them, and
+            for an incomplete head.
         reserved_bytes: Bytes that the body of the current request reserved.
     """
 
@@ -117,6 +126,8 @@
         return None
     if head is _TIMED_OUT:
         await _reject(connection, HTTPStatus.REQUEST_TIMEOUT)
+    if head is _NO_ROOM:
+        await _reject(connection, HTTPStatus.SERVICE_UNAVAILABLE)
     return None
 
 
@@ -217,7 +228,8 @@
     """Read the next protocol event.
 
     Returns:
-        The event, ``_TIMED_OUT``, or None if the connection broke.
+        The event, ``_TIMED_OUT``, ``_NO_ROOM`` if there is none for a head,
+        or None if the connection broke.
     """
     with trio.move_on_after(timeout_s):
         return await _next_event(connection, connection.parser.next_event)
@@ -238,6 +250,16 @@
         except CONNECTION_ERRORS:
             return None
         connection.parser.receive_data(received)
+        if not is_body and not _hold_head(connection):
+            return _NO_ROOM
+
+
+def _hold_head(connection: ClientConnection) -> bool:
+    """Reserve room for a long head; return whether there is any."""
+    n_bytes = len(connection.parser.trailing_data[0])
+    if n_bytes <= PART_BYTES:
+        return True
+    return hold_spare_bytes(connection.pipelined_hold, n_bytes, _HEADS_FRACTION)
 
 
 def _has_buffered_bytes(connection: ClientConnection) -> bool:
--- a/tests/serving/test_pipelined_requests.py
+++ b/tests/serving/test_pipelined_requests.py
@@ -17,6 +17,7 @@
 _N_CLIENTS = 20
 _N_PIPELINED = 60
 _SMALL_ROOM_BYTES = 200_000
+_LONG_HEAD_BYTES = 15_000
 _PART_BYTES = 4096
 # What is kept before the connection is no longer watched, and one read more.
 _MOST_HELD_BYTES = 2 * 65536
@@ -132,3 +133,30 @@
     n_parts = _N_CLIENTS * _PART_BYTES * 2
     assert max(play.held) <= _SMALL_ROOM_BYTES / 2 + n_parts
     assert play.budget.reserved_bytes == 0
+
+
+def test_lost_many_clients_with_unfinished_heads_keep_to_the_room_together():
+    """Heads were in no budget, and came on top of bodies."""
+    play = Play(ByteBudget(_SMALL_ROOM_BYTES))
+    raw = _HEAD[:-4].ljust(_LONG_HEAD_BYTES, b'x')
+    answers = []
+
+    async def send(client):
+        await client.send_all(raw)
+        answers.append(await client.receive_some())
+
+    async def act(nursery, address):
+        clients = [
+            await trio.open_tcp_stream(*address) for _ in range(_N_CLIENTS)
+        ]
+        for client in clients:
+            nursery.start_soon(send, client)
+        await trio.sleep(0.5)
+        assert _SMALL_ROOM_BYTES / 2 < play.budget.reserved_bytes
+        assert play.budget.reserved_bytes <= _SMALL_ROOM_BYTES
+
+    _pipeline(play, act)
+    assert play.budget.reserved_bytes == 0
+    n_held = _SMALL_ROOM_BYTES // _LONG_HEAD_BYTES
+    assert len(answers) >= _N_CLIENTS - n_held
+    assert all(raw.startswith(b'HTTP/1.1 503') for raw in answers)
