--- a/tests/core/test_byte_budget.py
+++ b/tests/core/test_byte_budget.py
@@ -6,6 +6,7 @@
     ByteBudget,
     ByteHold,
     hold_bytes,
+    hold_spare_bytes,
     make_body_budget,
     release_bytes,
     release_hold,
@@ -63,3 +64,16 @@
     for hold in holds:
         release_hold(hold)
     assert budget.reserved_bytes == _SMALL_BODY_BYTES
+
+
+def test_lost_bytes_that_can_wait_leave_the_rest_of_the_room():
+    """Also bytes of heads and of pipelined requests, however many there are."""
+    budget = ByteBudget(max_bytes=100_000)
+    holds = [ByteHold(budget) for _ in range(10)]
+    n_granted = sum(hold_spare_bytes(hold, 15_000, 0.5) for hold in holds)
+    assert n_granted == 3
+    assert budget.reserved_bytes == 45_000
+    assert reserve_bytes(budget, 0, 55_000)
+    assert hold_spare_bytes(holds[0], 5_000, 0.5)
+    assert not hold_spare_bytes(holds[0], 6_000, 0.5)
+    assert budget.reserved_bytes == 90_000
