--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -25,12 +25,9 @@
     handle_health_check,
     handle_metrics_scrape,
 )
-from turmericcrank_node.serving.request_reading import (
-    ConnectionHandlers,
-    cancel_on,
-    has_arrived,
-)
+from turmericcrank_node.serving.request_reading import ConnectionHandlers
 from turmericcrank_node.serving.router import handle_request, reject_body
+from turmericcrank_node.serving.socket_waits import cancel_on, has_arrived
 from turmericcrank_node.state.node_state import NodeState
 from turmericcrank_node.state.router_metrics import make_metrics
 from turmericcrank_node.state.table_watch import serve_table_watch
--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -1,8 +1,5 @@
 """Reads the requests of one client connection."""
 
-import contextlib
-import select
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from http import HTTPStatus
@@ -25,6 +22,7 @@
     find_header,
 )
 from turmericcrank_node.serving.client_exchange import ClientExchange
+from turmericcrank_node.serving.socket_waits import end_sending, has_arrived
 
 __all__ = (
     'PART_BYTES',
@@ -32,8 +30,6 @@
     'ClientConnection',
     'ClientRequest',
     'ConnectionHandlers',
-    'cancel_on',
-    'has_arrived',
     'read_request',
 )
 
@@ -295,8 +291,7 @@
 
 
 def _has_buffered_bytes(connection: ClientConnection) -> bool:
-    rest, _is_ended = connection.parser.trailing_data
-    return bool(rest)
+    return bool(connection.parser.trailing_data[0])
 
 
 async def _wait_for_bytes(
@@ -320,7 +315,7 @@
     if received is None and has_arrived(connection.stream.socket):
         received = await _receive(connection)
     if received is None:
-        _end_sending(connection)
+        end_sending(connection.stream.socket)
         is_draining = handlers.closing.is_set()
         connection.idle_end = 'drain' if is_draining else 'idle timeout'
     if received:
@@ -336,25 +331,6 @@
         return b''
 
 
-def has_arrived(sock: trio.socket.SocketType) -> bool:
-    """Return whether bytes, an end or a new connection wait on a socket."""
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
-def _end_sending(connection: ClientConnection) -> None:
-    """Close the sending side at once, without letting other tasks run."""
-    with contextlib.suppress(OSError):
-        connection.stream.socket.shutdown(socket.SHUT_WR)
-
-
-async def cancel_on(event: trio.Event, scope: trio.CancelScope) -> None:
-    """Cancel a scope once an event is set."""
-    await event.wait()
-    scope.cancel()
-
-
 async def _cancel_at_drain(
     handlers: ConnectionHandlers,
     connection: ClientConnection,
