--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,7 +3,7 @@
 import argparse
 import asyncio
 import dataclasses
-import importlib
+import importlib.util
 import pathlib
 import pickle
 import sys
@@ -32,10 +32,9 @@
     """Return the findings of all judges that there are."""
     found = []
     for name in _JUDGES:
-        try:
-            module = importlib.import_module(f'tests.soak.{name}')
-        except ModuleNotFoundError:
+        if importlib.util.find_spec(f'tests.soak.{name}') is None:
             continue
+        module = importlib.import_module(f'tests.soak.{name}')
         found += getattr(module, name)(run)
     return found
 
