Encode a request before its response is read

Cause: clients got status 500 (code 5001, internal_fault 900 with h11's LocalProtocolError "can't handle event type Request when role=CLIENT and state=MUST_CLOSE"). The request was encoded in the task that sends it, beside the task that reads the response head. If an upstream closes a connection that it has just accepted, the reader may see the end first, and the parser then takes no request any more. Class: two tasks that change the state of one parser. Ruled out: a request id used twice (its KeyError is another error). Change: `encode_request` runs before the reader is started, `send_request` only sends bytes. The store's connection uses the same two calls. Conclusion: the parser has the whole request before anything can end it.

--- a/packages/node/src/turmericcrank_node/http_connection.py
+++ b/packages/node/src/turmericcrank_node/http_connection.py
@@ -32,13 +32,14 @@
     'ResponseHead',
     'UpstreamConnection',
     'connect_upstream',
+    'encode_request',
     'find_header',
     'is_success',
     'read_body',
     'read_body_part',
     'read_response_head',
+    'send_request',
     'set_socket_options',
-    'write_request',
 )
 
 Headers = list[tuple[bytes, bytes]]
@@ -204,33 +205,32 @@
     return UpstreamConnection(trio.SocketStream(sock))
 
 
-async def write_request(
+def encode_request(
     connection: UpstreamConnection,
     method: bytes,
     target: bytes,
     headers: Headers,
     body: bytes | bytearray,
-) -> bool:
-    """Write a complete request; False if the connection broke first.
-
-    An upstream may respond before it has read the body, so the response is
-    worth reading even after a failed write. A large body is not copied.
-    """
+) -> list[bytes | bytearray]:
+    """Encode a request before anything is read; don't copy a large body."""
     parser = connection.parser
     request = h11.Request(method=method, target=target, headers=headers)
-    head = parser.send(request) or b''
-    parts = [head]
+    parts = [parser.send(request) or b'']
     if body:
         parts += parser.send_with_data_passthrough(h11.Data(data=body)) or ()
     parts.append(parser.send(h11.EndOfMessage()) or b'')
-    if len(body) <= MAX_COPIED_BYTES:
-        parts = [b''.join(parts)]
+    return [b''.join(parts)] if len(body) <= MAX_COPIED_BYTES else parts
+
+
+async def send_request(
+    connection: UpstreamConnection, parts: list[bytes | bytearray]
+) -> None:
+    """Send an encoded request; reading tells if the connection broke."""
     try:
         for part in filter(None, parts):
             await connection.stream.send_all(part)
     except CONNECTION_ERRORS:
-        return False
-    return True
+        return
 
 
 async def read_response_head(
--- a/packages/node/src/turmericcrank_node/store_connection.py
+++ b/packages/node/src/turmericcrank_node/store_connection.py
@@ -12,9 +12,10 @@
     ResponseHead,
     UpstreamConnection,
     connect_upstream,
+    encode_request,
     read_body,
     read_response_head,
-    write_request,
+    send_request,
 )
 from turmericcrank_node.platform_port import StoreUnavailable
 
@@ -101,9 +102,10 @@
     if body:
         headers.append((b'content-type', b'application/json'))
         headers.append((b'content-length', b'%d' % len(body)))
-    await write_request(
+    parts = encode_request(
         connection, method.encode(), target.encode(), headers, body
     )
+    await send_request(connection, parts)
     head = await read_response_head(connection)
     if not isinstance(head, ResponseHead):
         return StoreUnavailable(head.value)
--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -13,9 +13,10 @@
     ConnectFault,
     ReadFault,
     UpstreamConnection,
+    encode_request,
     is_success,
     read_response_head,
-    write_request,
+    send_request,
 )
 from turmericcrank_node.platform_port import (
     DecodedRequest,
@@ -177,15 +178,12 @@
 ) -> OpenResponse | AttemptFault:
     headers = state.platform.encode_forward_headers(call, metadata)
     request = call.request
+    # A connection that ends before the request is encoded takes none.
+    parts = encode_request(
+        connection, request.method, request.target, headers, request.body
+    )
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            write_request,
-            connection,
-            request.method,
-            request.target,
-            headers,
-            request.body,
-        )
+        nursery.start_soon(send_request, connection, parts)
         head = await read_response_head(connection)
         nursery.cancel_scope.cancel()
     if isinstance(head, ReadFault):
--- a/tests/serving/test_faulty_upstreams.py
+++ b/tests/serving/test_faulty_upstreams.py
@@ -1,12 +1,15 @@
 """Faulty upstreams: endless responses, and bytes that only trickle in."""
 
 import resource
+import socket
+import threading
 
 import trio
 from turmericcrank_core.routing import CallKind
 
-from tests.router_builders import make_route, make_table
+from tests.router_builders import make_route, make_table, make_upstream
 from tests.router_fakes import (
+    list_upstreams,
     make_node_state,
     open_client,
     read_until,
@@ -119,3 +122,39 @@
     assert elapsed_s > 3
     assert len(fake.requests) == 1
     assert received.endswith(END_CHUNK)
+
+
+def _close_connections(listener):
+    """Accept connections and close them at once, until it is shut down."""
+    while True:
+        try:
+            listener.accept()[0].close()
+        except OSError:
+            return
+
+
+def test_lost_no_request_to_an_upstream_that_closes_each_connection():
+    # The connection had ended before the request was encoded.
+    async def main():
+        route = make_route(kind=CallKind.idempotent, max_attempts=2)
+        state = make_node_state(make_table(route))
+        statuses = set()
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            address = '{}:{}'.format(*listener.getsockname())
+            list_upstreams(state, make_upstream('u0', address=address))
+            thread = threading.Thread(
+                target=_close_connections, args=(listener,)
+            )
+            thread.start()
+            async with trio.open_nursery() as nursery:
+                for number in range(100):
+                    client = await open_client(nursery, state)
+                    await client.send_all(request_bytes(id=f'r{number}'))
+                    received = await read_until(client, b'\r\n\r\n', 9)
+                    statuses.add(received[9:12])
+                nursery.cancel_scope.cancel()
+            listener.shutdown(socket.SHUT_RDWR)
+            thread.join()
+        return statuses
+
+    assert b'500' not in trio.run(main)
