Count crashes at addresses that still accept connections

Callers saw (BUDGET): a request, or a part of prompts, that crashes upstreams went on to crash them, without a block, for as long as it came, if something accepted connections at the address of the crashed upstream: a supervisor that holds the socket, a backlog that nobody reads, a proxy that resets. Cause: a broken connection counted as a crash only if a probe of the address was refused or not answered. Class: one kind of evidence for the end of a process. Change: a break also counts if all requests of the node at that upstream broke at once, or if what it carries has been a suspect for a second (until then nodes hear of output that clears it). Others wait in `connection_breaks`: for a later start at the address or a removed row within 10 s, or until the same content or part has broken three upstreams in two client attempts without an answer, while the service answered others. Breaks at an upstream that had broken before and not answered since count for nothing. A crash that is recorded late does not count against what a node has seen answered since. No message changes. The tests `test_budget_a_poison_request_is_rejected_though_its_upstreams_accept` and `test_budget_connections_that_all_break_at_once_are_a_crash` failed. Conclusion: the end of a process shows in more than its address; each kind of evidence needs more than one broken connection, and answers clear it.

--- a/packages/core/src/turmericcrank_core/crash_blocks.py
+++ b/packages/core/src/turmericcrank_core/crash_blocks.py
@@ -11,6 +11,10 @@
 import math
 from dataclasses import dataclass, field, replace
 
+from turmericcrank_core.connection_breaks import (
+    BreakHistory,
+    find_answered_since,
+)
 from turmericcrank_core.crash_evidence import (
     CrashHistory,
     CrashRecord,
@@ -88,6 +92,7 @@
         history: Crashes and proofs.
         blocks_by_keys: Blocks, active or lifted lately.
         is_judgement_due: Whether a crash was recorded since parts were judged.
+        breaks: Broken connections of this node that may have been crashes.
     """
 
     history: CrashHistory = field(default_factory=CrashHistory)
@@ -95,6 +100,7 @@
         default_factory=dict
     )
     is_judgement_due: bool = False
+    breaks: BreakHistory = field(default_factory=BreakHistory)
 
 
 @dataclass(slots=True, frozen=True)
@@ -143,6 +149,9 @@
     """
     if not add_crash(guard.history, record):
         return None
+    answered = find_answered_since(guard.breaks, record, now_s)
+    for key, at_s in answered.items():
+        record_proof(guard.history, (key,), at_s)
     guard.is_judgement_due = True
     return _blame_requests(guard, now_s)
 
--- a/packages/core/src/turmericcrank_core/crash_evidence.py
+++ b/packages/core/src/turmericcrank_core/crash_evidence.py
@@ -12,7 +12,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 __all__ = (
@@ -23,6 +23,7 @@
     'count_crashes',
     'is_open',
     'is_suspect',
+    'is_suspect_since',
     'record_proof',
 )
 
@@ -148,6 +149,17 @@
     return count_crashes(history, key) > 0
 
 
+def is_suspect_since(
+    history: CrashHistory, keys: Collection[str], until_s: float
+) -> bool:
+    """Return whether a crash up to some time counts against one of the keys."""
+    return any(
+        crash.at_s <= until_s and is_open(history, crash, key)
+        for crash in history.crashes
+        for key in _list_keys(crash).intersection(keys)
+    )
+
+
 def _keep_recent(
     history: CrashHistory, crashes: list[CrashRecord], oldest_s: float
 ) -> None:
--- a/packages/node/src/turmericcrank_node/membership/gossip_rounds.py
+++ b/packages/node/src/turmericcrank_node/membership/gossip_rounds.py
@@ -30,7 +30,7 @@
 from turmericcrank_node.membership.gossip_message import GossipMessage
 from turmericcrank_node.membership.limit_shares import refresh_sharing_nodes
 from turmericcrank_node.state.node_state import NodeState, describe_self
-from turmericcrank_node.upstreams.poison_detection import judge_crashes
+from turmericcrank_node.upstreams.crash_detection import judge_crashes
 
 __all__ = (
     'GossipState',
--- a/packages/node/src/turmericcrank_node/serving/in_flight_request.py
+++ b/packages/node/src/turmericcrank_node/serving/in_flight_request.py
@@ -237,7 +237,8 @@
         return
     attempts = dict(state.attempts_by_upstream.get(upstream.upstream_id, {}))
     if time_left_s(in_flight) > 0:
-        await detect_crash(state, upstream, outcome, attempts)
+        request_id = in_flight.call.request_id
+        await detect_crash(state, upstream, outcome, request_id, attempts)
     elif outcome.kind is FaultKind.unknown:
         log_no_crash(state, upstream, outcome, 'deadline', len(attempts))
 
--- a/packages/node/src/turmericcrank_node/state/in_flight_attempt.py
+++ b/packages/node/src/turmericcrank_node/state/in_flight_attempt.py
@@ -30,6 +30,7 @@
         n_events: Events of the response so far.
         first_output_s: Time of the first of them.
         is_proven: Whether the upstream has outlived the first output.
+        is_broken: Whether its connection broke.
     """
 
     suspect: Suspect
@@ -38,6 +39,7 @@
     n_events: int = 0
     first_output_s: float = 0
     is_proven: bool = False
+    is_broken: bool = False
 
 
 def record_events(
--- a/packages/node/src/turmericcrank_node/upstreams/crash_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/crash_detection.py
@@ -1,28 +1,59 @@
 """Tells whether a broken connection was a crash of its upstream.
 
-It counts as a crash only if the upstream accepts no further connections.
+It counts as a crash if the upstream accepts no further connections, if all
+requests of this node there broke at once, or if the request is a suspect of
+other crashes; otherwise it waits for evidence.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
+import trio
+from turmericcrank_core.connection_breaks import (
+    ConnectionBreak,
+    add_break,
+    has_ended_before,
+    take_ended,
+    take_repeated,
+)
+from turmericcrank_core.crash_blocks import judge_parts
+from turmericcrank_core.crash_evidence import (
+    CrashRecord,
+    is_suspect_since,
+)
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.upstream_registry import ListedUpstream
 
-from turmericcrank_node.state.in_flight_attempt import InFlightAttempt
-from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.state.in_flight_attempt import (
+    InFlightAttempt,
+    list_suspects,
+)
+from turmericcrank_node.state.node_state import (
+    NodeState,
+    read_cluster_time_s,
+)
 from turmericcrank_node.upstreams.attempt import AttemptFault, FaultKind
 from turmericcrank_node.upstreams.host_probe import HostStatus, probe_host
-from turmericcrank_node.upstreams.poison_detection import record_crash
+from turmericcrank_node.upstreams.poison_detection import (
+    announce_blocks,
+    publish_crash,
+    record_crash,
+)
 
-__all__ = ('detect_crash', 'log_no_crash')
+__all__ = ('detect_crash', 'judge_crashes', 'log_no_crash')
 
 _CRASH_STATUSES = frozenset((HostStatus.refuses, HostStatus.silent))
+# The tasks of connections that broke at once run within this time.
+_SAME_MOMENT_S = 0.05
+_CHECK_INTERVAL_S = 0.01
+# Nodes hear within this time of output that clears a sound request.
+_PROOF_WAIT_S = 1
 
 
 async def detect_crash(
     state: NodeState,
     upstream: ListedUpstream,
     fault: AttemptFault,
+    request_id: str,
     attempts_by_request: Mapping[str, InFlightAttempt],
 ) -> None:
     """Check whether a broken connection was a crash, and record it if so.
@@ -31,21 +62,124 @@
         state: The node.
         upstream: Upstream whose connection broke.
         fault: Fault of the attempt.
+        request_id: Request whose connection broke.
         attempts_by_request: Attempts that were in flight there, by request.
     """
-    if fault.kind is not FaultKind.unknown:
+    attempt = attempts_by_request.get(request_id)
+    if fault.kind is not FaultKind.unknown or attempt is None:
         return
+    at_s = read_cluster_time_s(state)
     if fault.is_unresponsive:
         cause = 'unresponsive'
     else:
+        attempt.is_broken = True
         status = await probe_host(state, upstream)
-        if status in _CRASH_STATUSES:
-            record_crash(
-                state, upstream.upstream_id, fault.reason, attempts_by_request
+        is_after_end = status is HostStatus.takes and has_ended_before(
+            state.crash_guard.breaks,
+            state.crash_guard.history.crashes,
+            upstream.upstream_id,
+            at_s,
+        )
+        if is_after_end:
+            log_no_crash(
+                state, upstream, fault, 'ended before', len(attempts_by_request)
             )
             return
+        crashed = await _find_crashed(
+            state, status, request_id, attempts_by_request
+        )
+        if crashed:
+            record_crash(state, upstream.upstream_id, fault.reason, crashed)
+            return
         cause = status.value
     log_no_crash(state, upstream, fault, cause, len(attempts_by_request))
+    _keep_break(state, upstream, fault, request_id, attempt, at_s)
+
+
+def judge_crashes(state: NodeState) -> None:
+    """Judge breaks and the parts of prompts; call it in each gossip round.
+
+    All nodes come to the same result on parts, so it is not reported at once.
+    """
+    now_s = read_cluster_time_s(state)
+    ended = take_ended(state.crash_guard.breaks, state.upstream_registry, now_s)
+    _record_breaks(state, ended, 'row changed')
+    blocks = judge_parts(state.crash_guard, now_s)
+    announce_blocks(state, blocks, 'crash', audience=None)
+
+
+async def _find_crashed(
+    state: NodeState,
+    status: HostStatus,
+    request_id: str,
+    attempts_by_request: Mapping[str, InFlightAttempt],
+) -> Mapping[str, InFlightAttempt]:
+    """Return the requests that may have crashed the upstream; empty for no."""
+    if status in _CRASH_STATUSES:
+        return attempts_by_request
+    if status is not HostStatus.takes:
+        return {}
+    if await _have_all_broken(attempts_by_request.values()):
+        return attempts_by_request
+    attempt = attempts_by_request[request_id]
+    settled_s = read_cluster_time_s(state) - _PROOF_WAIT_S
+    if is_suspect_since(
+        state.crash_guard.history, attempt.suspect.keys, settled_s
+    ):
+        return {request_id: attempt}
+    return {}
+
+
+async def _have_all_broken(attempts: Iterable[InFlightAttempt]) -> bool:
+    """Return whether several connections broke, and no other is open."""
+    first, *others = attempts
+    if not others:
+        return False
+    with trio.move_on_after(_SAME_MOMENT_S):
+        while not all(one.is_broken for one in (first, *others)):
+            await trio.sleep(_CHECK_INTERVAL_S)
+    return all(one.is_broken for one in (first, *others))
+
+
+def _keep_break(
+    state: NodeState,
+    upstream: ListedUpstream,
+    fault: AttemptFault,
+    request_id: str,
+    attempt: InFlightAttempt,
+    at_s: float,
+) -> None:
+    """Keep a break until there is evidence that it was a crash."""
+    suspects = list_suspects((attempt,), at_s)
+    registry = state.upstream_registry
+    upstream_id = upstream.upstream_id
+    for suspect in suspects:
+        added = ConnectionBreak(
+            upstream,
+            at_s,
+            request_id,
+            suspect,
+            is_unresponsive=fault.is_unresponsive,
+            is_leaving=(
+                upstream.is_draining
+                or upstream_id not in registry.by_id
+                or upstream_id in registry.missing_since_s_by_id
+            ),
+        )
+        add_break(state.crash_guard.breaks, added)
+        repeated = take_repeated(state.crash_guard.breaks, suspect)
+        _record_breaks(state, repeated, 'repeated')
+
+
+def _record_breaks(
+    state: NodeState, breaks: Iterable[ConnectionBreak], reason: str
+) -> None:
+    for one in breaks:
+        record = CrashRecord(
+            one.upstream.upstream_id, one.at_s, frozenset((one.suspect,))
+        )
+        attempt = InFlightAttempt(one.suspect, has_begun=one.suspect.has_begun)
+        publish_crash(state, record, reason, {one.request_id: attempt})
 
 
 def log_no_crash(
--- a/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
@@ -8,11 +8,14 @@
 from collections.abc import Iterable, Mapping
 
 import xxhash
+from turmericcrank_core.connection_breaks import (
+    find_answered_since,
+    record_answer,
+)
 from turmericcrank_core.crash_blocks import (
     CrashBlock,
     is_active,
     is_same_state,
-    judge_parts,
     merge_block,
     record_output_of,
     report_crash,
@@ -35,13 +38,13 @@
 
 __all__ = (
     'announce_blocks',
-    'judge_crashes',
     'fingerprint_request',
     'make_part_key',
     'make_suspect',
     'merge_crash_report',
     'merge_output_report',
     'merge_reported_block',
+    'publish_crash',
     'record_begin',
     'record_crash',
     'record_in_flight',
@@ -102,7 +105,7 @@
     """Record events of a response; tell other nodes what they prove."""
     attempt = state.attempts_by_upstream.get(upstream_id, {}).get(request_id)
     if attempt and record_events(attempt, n_events, read_cluster_time_s(state)):
-        _record_proof(state, attempt.suspect.keys, attempt.first_output_s)
+        _record_answer(state, upstream_id, attempt)
 
 
 def record_response(
@@ -112,7 +115,7 @@
     attempt = state.attempts_by_upstream.get(upstream_id, {}).get(request_id)
     now_s = read_cluster_time_s(state)
     if attempt and record_complete_response(attempt, now_s):
-        _record_proof(state, attempt.suspect.keys, attempt.first_output_s)
+        _record_answer(state, upstream_id, attempt)
 
 
 def record_crash(
@@ -121,7 +124,7 @@
     reason: str,
     attempts_by_request: Mapping[str, InFlightAttempt],
 ) -> None:
-    """Record a crash and what was in flight at it, and tell other nodes.
+    """Record that an upstream crashes now, and tell other nodes.
 
     Args:
         state: The node.
@@ -132,17 +135,32 @@
     now_s = read_cluster_time_s(state)
     suspects = list_suspects(attempts_by_request.values(), now_s)
     record = CrashRecord(upstream_id, now_s, suspects)
+    publish_crash(state, record, reason, attempts_by_request)
+
+
+def publish_crash(
+    state: NodeState,
+    record: CrashRecord,
+    reason: str,
+    attempts_by_request: Mapping[str, InFlightAttempt],
+) -> None:
+    """Record a crash that this node has noticed, and tell other nodes.
+
+    The reason is how it was noticed, for the log.
+    """
+    now_s = read_cluster_time_s(state)
     blocks = report_crash(state.crash_guard, record, now_s)
     if blocks is None:
         return
     state.crash_reports.by_crash[record] = PendingReport()
+    _report_answers(state, record, now_s)
     logged = list(attempts_by_request.items())[:_MAX_LOGGED]
     state.log.write(
         EventCode.upstream_failed,
-        upstream=upstream_id,
+        upstream=record.upstream_id,
         reason=reason,
         n_requests=len(attempts_by_request),
-        n_suspects=len(suspects),
+        n_suspects=len(record.suspects),
         in_flight=[
             [request_id, list(one.parts), one.has_begun, one.n_events]
             for request_id, one in logged
@@ -152,15 +170,6 @@
     state.request_gossip()
 
 
-def judge_crashes(state: NodeState) -> None:
-    """Judge the parts of prompts; call it in each gossip round.
-
-    All nodes come to the same result, so it is not reported at once.
-    """
-    blocks = judge_parts(state.crash_guard, read_cluster_time_s(state))
-    announce_blocks(state, blocks, 'crash', audience=None)
-
-
 def merge_crash_report(
     state: NodeState,
     record: CrashRecord,
@@ -178,11 +187,13 @@
     Returns:
         False if it adds nothing to what this node knows.
     """
-    blocks = report_crash(state.crash_guard, record, read_cluster_time_s(state))
+    now_s = read_cluster_time_s(state)
+    blocks = report_crash(state.crash_guard, record, now_s)
     if blocks is None:
         return False
     if audience is not None:
         state.crash_reports.by_crash[record] = PendingReport(audience)
+    _report_answers(state, record, now_s)
     announce_blocks(state, blocks, source, audience)
     return True
 
@@ -248,6 +259,31 @@
     return f'p{xxhash.xxh3_64_hexdigest(named)[:_KEY_DIGITS]}'
 
 
+def _report_answers(
+    state: NodeState, record: CrashRecord, now_s: float
+) -> None:
+    """Report what this node has seen answered since a late crash."""
+    guard = state.crash_guard
+    for key in find_answered_since(guard.breaks, record, now_s):
+        proven_s = guard.history.proven_s_by_key.get(key, 0)
+        if proven_s > record.at_s:
+            state.crash_reports.by_output[key, proven_s] = PendingReport()
+
+
+def _record_answer(
+    state: NodeState, upstream_id: str, attempt: InFlightAttempt
+) -> None:
+    upstream = state.upstream_registry.by_id.get(upstream_id)
+    if upstream is not None:
+        record_answer(
+            state.crash_guard.breaks,
+            upstream,
+            attempt.suspect.keys,
+            attempt.first_output_s,
+        )
+    _record_proof(state, attempt.suspect.keys, attempt.first_output_s)
+
+
 def _record_proof(state: NodeState, keys: frozenset[str], at_s: float) -> None:
     """Record output of a request of this node, and report what it clears."""
     if not state.crash_guard.history.crashes:
--- a/tests/serving/test_poison_requests.py
+++ b/tests/serving/test_poison_requests.py
@@ -1,10 +1,15 @@
 """Poison requests, which crash each upstream that runs them."""
 
+import functools
+
 import trio
 from turmericcrank_core.routing import CallKind
+from turmericcrank_core.upstream_registry import record_listed
+from turmericcrank_node.upstreams.crash_detection import judge_crashes
 
-from tests.router_builders import make_route, make_table
+from tests.router_builders import make_route, make_table, make_upstream
 from tests.router_fakes import (
+    list_upstreams,
     make_node_state,
     open_client,
     read_until,
@@ -141,3 +146,127 @@
         return state
 
     assert not trio.run(main).crash_guard.history.crashes
+
+
+class _HeldUpstream:
+    """An upstream whose socket stays open while it crashes.
+
+    It breaks all its connections and starts again with a later start time.
+    """
+
+    def __init__(self):
+        self.crashes_s = []
+        self.streams = set()
+
+    async def serve(self, task_status):
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        self.address = '{}:{}'.format(*listeners[0].socket.getsockname())
+        await trio.serve_listeners(
+            self._serve_connection, listeners, task_status=task_status
+        )
+
+    async def _serve_connection(self, stream):
+        self.streams.add(stream)
+        try:
+            await self._answer(stream, await stream.receive_some())
+        except (trio.ClosedResourceError, trio.BrokenResourceError):
+            return
+        finally:
+            self.streams.discard(stream)
+
+    async def _answer(self, stream, raw):
+        if b'poison' in raw:
+            self.crashes_s.append(trio.current_time())
+            for open_stream in list(self.streams):
+                await open_stream.aclose()
+        elif b'long' in raw:
+            await trio.sleep(5)
+        elif raw:
+            await stream.send_all(response_bytes().replace(b'{id}', b'r1'))
+
+
+async def _send(nursery, state, **fields):
+    client = await open_client(nursery, state)
+    await client.send_all(request_bytes('/bays/1', **fields))
+    return (await read_until(client, b'\r\n\r\n'))[9:12]
+
+
+async def _start_held_upstreams(nursery, state, count):
+    held = [_HeldUpstream() for _ in range(count)]
+    for upstream in held:
+        await nursery.start(upstream.serve)
+    list_upstreams(
+        state,
+        *(
+            make_upstream(f'u{number}', address=one.address, born_ms=1)
+            for number, one in enumerate(held)
+        ),
+    )
+    return held
+
+
+def _list_again(state, held):
+    """List the crashed upstreams with the start time of their new process."""
+    for number, upstream in enumerate(held):
+        if upstream.crashes_s:
+            born_ms = 1 + len(upstream.crashes_s)
+            row = make_upstream(
+                f'u{number}', address=upstream.address, born_ms=born_ms
+            )
+            record_listed(state.upstream_registry, row)
+    judge_crashes(state)
+
+
+def test_budget_a_poison_request_is_rejected_though_its_upstreams_accept():
+    # The probe reached a socket that outlived the process.
+    async def main():
+        state = _make_state()
+        async with trio.open_nursery() as nursery:
+            held = await _start_held_upstreams(nursery, state, 4)
+            for number in range(6):
+                await _send(nursery, state, body=b'poison', id=f'p{number}')
+                await trio.sleep(0.35)
+                _list_again(state, held)
+            other = await _send(nursery, state)
+            nursery.cancel_scope.cancel()
+        return sum(len(one.crashes_s) for one in held), other
+
+    n_crashes, other = trio.run(main)
+    assert n_crashes <= 4
+    assert other == b'200'
+
+
+def test_budget_connections_that_all_break_at_once_are_a_crash():
+    async def main():
+        state = _make_state()
+        async with trio.open_nursery() as nursery:
+            await _start_held_upstreams(nursery, state, 1)
+            nursery.start_soon(
+                functools.partial(
+                    _send, nursery, state, body=b'long', id='long'
+                )
+            )
+            await trio.sleep(0.2)
+            await _send(nursery, state, body=b'poison', id='p')
+            nursery.cancel_scope.cancel()
+        return state.crash_guard.history.crashes
+
+    crashes = trio.run(main)
+    assert [len(crash.suspects) for crash in crashes] == [2]
+
+
+def test_lost_no_connection_that_goes_on_beside_one_that_breaks():
+    async def main():
+        state = _make_state()
+        async with trio.open_nursery() as nursery:
+            scripts = [[0.6, response_bytes()], ['reset']]
+            await start_upstreams(nursery, state, scripts)
+            nursery.start_soon(
+                functools.partial(_send, nursery, state, id='long')
+            )
+            await trio.sleep(0.2)
+            await _send(nursery, state, body=b'other', id='p')
+            nursery.cancel_scope.cancel()
+        return state.crash_guard.history.crashes
+
+    assert not trio.run(main)
