--- a/tests/serving/test_drain.py
+++ b/tests/serving/test_drain.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import replace
 
+import pytest
 import trio
 from turmericcrank_core.network_address import split_address
 from turmericcrank_node import router_node
@@ -143,12 +144,18 @@
     assert heads == [b'503']
 
 
-def test_lost_connection_that_waits_to_be_accepted_when_listening_ends():
+@pytest.mark.parametrize('n_requests', [0, 1])
+def test_lost_connection_that_waits_to_be_accepted_when_listening_ends(
+    n_requests,
+):
     # A listening socket that is closed resets the connections that wait.
     heads = []
 
     async def main():
         state = make_node_state(make_table(make_route()))
+        bounds = replace(state.settings.bounds, grace_s=5.0)
+        state.settings = replace(state.settings, bounds=bounds)
+        state.n_requests = n_requests
         with trio.move_on_after(9):
             async with trio.open_nursery() as nursery:
                 address = await _start_node(nursery, state)
