Blame a part that crashes upstreams before they respond

Callers saw (BUDGET): requests with a part of the prompt that crashes upstreams reach upstreams later than 3 s after the fifth crash, more than the three allowed, on real processes without any other trouble. Cause: where an upstream had begun to respond to any request, only those requests were suspects of its crash. An upstream that crashes before it sends a head leaves the culprit among those that waited, and another response that was broken off and never asked for again keeps it out of that crash for good. Class: evidence of one kind is taken for all evidence. Change: if the requests that had begun give no part to blame, all suspects are judged, by the rule for requests that waited. Sound parts are cleared by any response, and one beside the culprit has it as a rival.

--- a/packages/core/src/turmericcrank_core/crash_judgement.py
+++ b/packages/core/src/turmericcrank_core/crash_judgement.py
@@ -3,7 +3,8 @@
 What the crashes leave open is judged by how many of them it was in:
 
 - If the upstream had begun to respond to some of the requests, which takes a
-  moment until the first output, one of these crashed it, not one that waited.
+  moment until the first output, one of these has most likely crashed it, not
+  one that waited. If that finds no part to blame, those that waited count too.
 - Parts that always came together are judged as one group, and only requests
   with all of them are blamed, so that requests with one of them go on and
   tell them apart. A group is blamed for three crashes of requests that had
@@ -185,10 +186,18 @@
     settled: list[CrashRecord],
     until_s_by_known: Mapping[frozenset[str], float],
 ) -> frozenset[str] | None:
-    """Return a group to blame, from requests that had begun if there is one."""
+    """Return a group to blame, from requests that had begun if there is one.
+
+    An upstream may also crash before it responds, beside others that it had
+    begun to respond to, so in the end all suspects are judged.
+    """
     likely = [_limit_to_begun(history, crash) for crash in settled]
-    crashes = _limit_explained(likely, until_s_by_known)
-    for rule in (_BEGUN_RULE, _ANY_RULE):
+    for suspected, rule in (
+        (likely, _BEGUN_RULE),
+        (likely, _ANY_RULE),
+        (settled, _ANY_RULE),
+    ):
+        crashes = _limit_explained(suspected, until_s_by_known)
         group = _find_group_by(history, crashes, rule, until_s_by_known)
         if group is not None:
             return group
--- a/tests/core/test_crash_evidence.py
+++ b/tests/core/test_crash_evidence.py
@@ -221,3 +221,31 @@
         add_crash(history, CrashRecord('u', 3.0 * number, suspects))
         record_proof(history, [f'n{number}'], 3.0 * number + 1)
     assert _culprits(history) == {'poison'}
+
+
+def test_budget_a_part_is_found_that_crashes_upstreams_before_they_respond():
+    """Each crash also ended another response that was never asked for again."""
+    history = CrashHistory()
+    for number in range(5):
+        _crash_prompts(
+            history,
+            10.0 + number,
+            (f'begun-{number}', f'rules part-{number}'),
+            (f'waiting-{number}', 'rules bad'),
+        )
+        record_proof(history, ['rules'], 10.5 + number)
+    assert _culprits(history) == {'bad'}
+
+
+def test_a_waiting_part_is_not_blamed_beside_one_that_was_in_all_its_crashes():
+    history = CrashHistory()
+    for number in range(7):
+        rare = 'rare' if number > 1 else ''
+        _crash_prompts(
+            history,
+            10.0 + number,
+            (f'begun-{number}', f'part-{number}'),
+            (f'waiting-{number}', 'bad'),
+            (f'other-{number}', rare),
+        )
+    assert _culprits(history) == {'bad'}
