Count no complete but faulty response as a broken connection

Ruled out: addresses that refuse or are silent; these are judged as before. Change: where the address accepts, only a reset or an early end is a break. Before: both new tests failed (two such responses at once were a crash). After: both pass, with the tests of poison requests. Conclusion: what did not break is no evidence of an end.

--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -43,6 +43,7 @@
 NO_RESPONSE = 'timed out waiting for a response'
 _DEADLINE_MARGIN_S = 0.02
 _UNRESPONSIVE_REASONS = frozenset((NO_RESPONSE, HOST_UNRESPONSIVE, NO_EVENT))
+_BROKEN_REASONS = frozenset((ReadFault.reset, ReadFault.ended_early))
 _NOT_RUN_STATUSES = frozenset(
     (
         HTTPStatus.REQUEST_TIMEOUT,
@@ -86,6 +87,11 @@
             return self.is_upstream_fault
         return self.reason in _UNRESPONSIVE_REASONS
 
+    @property
+    def is_broken_connection(self) -> bool:
+        """Whether the connection ended before the response did."""
+        return self.reason in _BROKEN_REASONS
+
     @property
     def is_upstream_fault(self) -> bool:
         """Whether the upstream may be at fault, not this node's links."""
--- a/packages/node/src/turmericcrank_node/upstreams/crash_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/crash_detection.py
@@ -72,8 +72,13 @@
     if fault.is_unresponsive:
         cause = 'unresponsive'
     else:
-        attempt.is_broken = True
+        attempt.is_broken = fault.is_broken_connection
         status = await probe_host(state, upstream)
+        if status is HostStatus.takes and not attempt.is_broken:
+            log_no_crash(
+                state, upstream, fault, status.value, len(attempts_by_number)
+            )
+            return
         is_after_end = status is HostStatus.takes and has_ended_before(
             state.crash_guard.breaks,
             state.crash_guard.history.crashes,
