Start a drain also if its signal came before its handler was replaced

Callers would see: a node that ends by an error instead of draining (the reviewer, by reading; the window is some microseconds of the start). Cause: the time from which requests are rejected is set by a handler that replaces trio's; a signal between the two left it unset, and the drain failed with a TypeError. Ruled out: signals after that, they set it. Change: the drain sets it if it is missing. Before: the new test failed (TypeError). After: it passes. Conclusion: every way into the drain now has the time.

--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -247,6 +247,9 @@
     """
     state.is_stopping = True
     state.request_gossip()
+    if state.rejects_from_s is None:
+        # The signal came before its handler was replaced.
+        state.rejects_from_s = trio.current_time() + _REJECT_DELAY_S
     drain_began_s = state.rejects_from_s - _REJECT_DELAY_S
     state.log.write(
         EventCode.drain_started,
--- a/tests/serving/test_drain.py
+++ b/tests/serving/test_drain.py
@@ -170,3 +170,14 @@
 
     trio.run(main)
     assert heads == [b'503']
+
+
+def test_lost_no_drain_whose_signal_came_before_its_handler():
+    # The time from which requests are rejected was missing.
+    async def main():
+        state = make_node_state(make_table(make_route()))
+        with trio.move_on_after(0.1):
+            await router_node._drain(state)
+        return state.rejects_from_s
+
+    assert trio.run(main) is not None
