Close a connection whose response is sent while the node drains

Cause: whether to say so was decided when a request began, up to seconds before its response; the drain then closed the connection with no time for the next request. Class: a state that is read long before it is used. Ruled out: connections that wait for their first request (they have 0.25 s). Change: it is decided when the head is sent; after a response, too, the next request has 0.25 s, for streams whose head was sent before. Before: the new test failed (no connection: close). After: it passes, with the tests of connections, drains, bodies and pipelined requests (19). Conclusion: a client either knows that the connection closes or is answered.

--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -80,7 +80,7 @@
     exchange = ClientExchange(
         connection.stream,
         connection.parser,
-        handlers.is_closing(),
+        handlers.is_closing,
         request.method == b'HEAD',
     )
     async with trio.open_nursery() as nursery:
@@ -92,6 +92,7 @@
     if not exchange.is_complete:
         connection.stream.socket.close()
         return False
+    connection.idle_since_s = trio.current_time()
     if connection.pipelined:
         connection.parser.receive_data(bytes(connection.pipelined))
         connection.pipelined.clear()
--- a/packages/node/src/turmericcrank_node/serving/client_exchange.py
+++ b/packages/node/src/turmericcrank_node/serving/client_exchange.py
@@ -1,6 +1,7 @@
 """Sends the response to one request of a client."""
 
 import errno
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
@@ -22,7 +23,8 @@
     Attributes:
         stream: Client socket.
         parser: HTTP protocol state of the connection.
-        is_last: Whether the connection closes after this response.
+        is_closing: Returns whether the connection closes after this
+            response; asked when its head is sent.
         is_head: Whether the request is a HEAD request, so that the response
             has a length but no body.
         is_started: Whether the response head has been sent.
@@ -34,7 +36,7 @@
 
     stream: trio.SocketStream
     parser: h11.Connection
-    is_last: bool = False
+    is_closing: Callable[[], bool] = bool
     is_head: bool = False
     is_started: bool = False
     is_complete: bool = False
@@ -84,7 +86,7 @@
         self.is_started = True
         self.status = status
         sent_headers = list(headers)
-        if self.is_last:
+        if self.is_closing():
             sent_headers.append((b'connection', b'close'))
         response = h11.Response(status_code=status, headers=sent_headers)
         return self.parser.send(response) or b''
--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -36,8 +36,8 @@
 READ_BYTES = 65536
 # Read at a time where what follows may belong to a later request.
 PART_BYTES = 4096
-# Time for the first request of a client that connects while the node drains.
-_FIRST_REQUEST_S = 0.25
+# Time for the next request of a client that does not know of a drain.
+_NEXT_REQUEST_S = 0.25
 # The rest of the room is left to small bodies and responses.
 _HEADS_FRACTION = 0.75
 _TIMED_OUT = object()
@@ -108,7 +108,8 @@
         reserved_bytes: Bytes that the body of the current request reserved.
         idle_end: Why the connection is closed though no request was read:
             ``drain`` or ``idle timeout``; empty in any other case.
-        opened_s: When it was opened, on trio's clock.
+        idle_since_s: When it was opened, or its last response was sent, on
+            trio's clock.
     """
 
     stream: trio.SocketStream
@@ -117,19 +118,16 @@
     pipelined: bytearray = field(default_factory=bytearray)
     reserved_bytes: int = 0
     idle_end: str = ''
-    opened_s: float = field(default_factory=trio.current_time)
+    idle_since_s: float = field(default_factory=trio.current_time)
 
 
 async def read_request(
     handlers: ConnectionHandlers, connection: ClientConnection
 ) -> ClientRequest | None:
     """Read the next request; None if the connection must be closed."""
-    limits = handlers.limits()
-    if not _has_buffered_bytes(connection):
-        has_received = await _wait_for_bytes(
-            handlers, connection, limits.idle_s
-        )
-        if not has_received:
+    if not connection.parser.trailing_data[0]:
+        idle_s = handlers.limits().idle_s
+        if not await _wait_for_bytes(handlers, connection, idle_s):
             return None
     handlers.counts.n_reading += 1
     try:
@@ -227,7 +225,10 @@
 ) -> None:
     """Reject a request before its body is read to the end."""
     exchange = ClientExchange(
-        connection.stream, connection.parser, True, request.method == b'HEAD'
+        connection.stream,
+        connection.parser,
+        lambda: True,
+        request.method == b'HEAD',
     )
     await handlers.reject_body(request, exchange)
 
@@ -290,10 +291,6 @@
     return hold_spare_bytes(connection.pipelined_hold, n_bytes, _HEADS_FRACTION)
 
 
-def _has_buffered_bytes(connection: ClientConnection) -> bool:
-    return bool(connection.parser.trailing_data[0])
-
-
 async def _wait_for_bytes(
     handlers: ConnectionHandlers, connection: ClientConnection, idle_s: float
 ) -> bool:
@@ -336,9 +333,9 @@
     connection: ClientConnection,
     scope: trio.CancelScope,
 ) -> None:
-    """Stop waiting when the node drains, but not at once after opening."""
+    """Stop waiting when the node drains, but not at once after a response."""
     await handlers.closing.wait()
-    await trio.sleep_until(connection.opened_s + _FIRST_REQUEST_S)
+    await trio.sleep_until(connection.idle_since_s + _NEXT_REQUEST_S)
     scope.cancel()
 
 
@@ -346,5 +343,7 @@
     """Send an empty error response to an invalid or oversized request."""
     if connection.parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
         return
-    exchange = ClientExchange(connection.stream, connection.parser, True)
+    exchange = ClientExchange(
+        connection.stream, connection.parser, lambda: True
+    )
     await exchange.send_response(status, [], b'')
--- a/tests/serving/test_connection_ends.py
+++ b/tests/serving/test_connection_ends.py
@@ -135,3 +135,23 @@
 
     heads = trio.run(main)
     assert [head[:12] for head in heads] == [b'HTTP/1.1 404'] * 2
+
+
+def test_lost_no_connection_is_reused_whose_response_comes_while_draining():
+    # Its request had begun before; the next one was read and discarded.
+    async def main():
+        state = _make_state(idle_s=15)
+        script = [0.2, response_bytes()]
+        async with trio.open_nursery() as nursery:
+            await start_upstreams(nursery, state, [script])
+            client = await open_client(nursery, state)
+            await client.send_all(request_bytes('/bays/1'))
+            await trio.sleep(0.1)
+            state.is_stopping = True
+            received = await read_until(client, b'\r\n\r\n', 3)
+            nursery.cancel_scope.cancel()
+        return received
+
+    received = trio.run(main)
+    assert received.startswith(b'HTTP/1.1 200')
+    assert b'connection: close' in received
