Log errors of a reloaded settings file instead of writing them to standard error

Cause: a reload wrote errors to standard error, every 2 s and at each SIGHUP. On a pipe that is full this blocks the process, or raises an error that nothing caught, as the log sets the shared pipe to not block. Class: that of the log lines that nobody reads. Ruled out: the start, which writes once and then ends. Before: errors on standard error, seen by reading; the new test can't run there, as the event did not exist. Conclusion: after the start nothing but the log writes, and the log never blocks.

--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -18,6 +18,7 @@
     settings_reloaded = 105
     lines_left_out = 106
     drain_ended = 107
+    settings_rejected = 108
     request_received = 200
     request_sent = 201
     request_answered = 202
--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
+from expression import Result
+from turmericcrank_core.constraints import FieldError
 from turmericcrank_core.rollout_phases import RolloutOrder, RolloutPhase
 from turmericcrank_core.routing import RouteTable
 from turmericcrank_core.upstream_registry import ListedUpstream
@@ -327,8 +329,8 @@
         encode_addresses: Encodes the response body for such a query, from
             the addresses and the time in seconds to cache them.
         is_health_check: Returns whether a request is a readiness check.
-        reload_settings: Reads the settings again; None if they are not
-            valid.
+        reload_settings: Reads the settings again; returns all errors if they
+            are not valid.
     """
 
     store: StorePort
@@ -344,4 +346,4 @@
     decode_address_query: Callable[[ClientRequest], str | None]
     encode_addresses: Callable[[list[str], float], bytes]
     is_health_check: Callable[[ClientRequest], bool]
-    reload_settings: Callable[[], RouterSettings | None]
+    reload_settings: Callable[[], Result[RouterSettings, list[FieldError]]]
--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -228,9 +228,11 @@
     The listening addresses stay as they were when the process started.
     """
     loaded = state.platform.reload_settings()
-    if loaded is None:
+    if loaded.is_error():
+        field_errors = [str(field_error) for field_error in loaded.error]
+        state.log.write(EventCode.settings_rejected, errors=field_errors)
         return False
-    reloaded = replace(loaded, addresses=state.settings.addresses)
+    reloaded = replace(loaded.ok, addresses=state.settings.addresses)
     is_changed = reloaded != state.settings
     state.settings = reloaded
     return is_changed
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -8,9 +8,15 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import trio
+from turmericcrank_core.constraints import FieldError
+from turmericcrank_node import router_node
 from turmericcrank_platform import program
+from turmericcrank_platform.program import make_platform
 from turmericcrank_platform.settings import SETTINGS_VARIABLE
 
+from tests.router_builders import make_route, make_table
+from tests.router_fakes import make_node_state
+
 _SETTINGS = {
     'node': 'n1',
     'ip': '127.0.0.1',
@@ -61,3 +67,22 @@
             time.sleep(0.2)
             path.write_text(text)
         assert running.result() == 0
+
+
+def test_lost_no_node_whose_settings_file_is_invalid_at_a_reload(
+    tmp_path, capfd
+):
+    # Errors were written to standard error, which may be full or unread.
+    path = tmp_path / 'settings.json'
+    path.write_text('{"node": 1}')
+    state = make_node_state(make_table(make_route()))
+    state.platform = make_platform(state.settings, str(path))
+    assert not router_node._reload_settings(state)
+    name, fields = state.log.events[-1]
+    assert name == 'settings_rejected'
+    assert any('settings.node' in text for text in fields['errors'])
+    assert capfd.readouterr().err == ''
+    assert all(
+        isinstance(one, FieldError)
+        for one in state.platform.reload_settings().error
+    )
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from expression import Error
 from turmericcrank_core.event_codes import EventCode
 from turmericcrank_core.table_staleness import record_read
 from turmericcrank_core.upstream_registry import record_listed
@@ -120,7 +121,7 @@
             [found, keep_s]
         ).encode(),
         is_health_check=lambda request: request.target == b'/ready',
-        reload_settings=lambda: None,
+        reload_settings=lambda: Error([]),
     )
 
 
