Check the types of the site's bounds

Callers would see: a node that ends at a reload, or whose drain fails, when a bound in the settings file has another type (the reviewer, by a run of the check: TypeError). Cause: bounds were used without a check; `null` for grace-s was kept as it is. Ruled out: bounds of 0. Before: the three new tests failed. After: they pass. Conclusion: what is not valid is reported by name, and never raised.

--- a/tests/platform/test_retry_bounds.py
+++ b/tests/platform/test_retry_bounds.py
@@ -42,3 +42,17 @@
     bounds = _read_bounds(retry_budget_ratio=0.9, retry_budget_slack=54)
     assert 0 < bounds.retry_ratio < 0.9
     assert 0 < bounds.retry_slack < 54
+
+
+@pytest.mark.parametrize(
+    'bounds', [{'retry_budget_slack': '50'}, {'drain_ms': 'x'}]
+)
+def test_lost_no_node_with_a_bound_of_another_type(bounds):
+    """It raised an error, which ended a running node at a reload."""
+    named = {name.replace('_', '-'): raw for name, raw in bounds.items()}
+    checked = check_settings({**_SETTINGS, 'bounds': named})
+    assert [one.field for one in checked.error] == list(named)
+
+
+def test_a_grace_period_without_a_value_has_its_default():
+    assert _read_bounds(grace_s=None) == OperatingLimits()
