Send nothing for a request that has too little time left to connect

Cause: too little time to connect counted as a fault of the upstream. Ruled out: nothing was sent; the budget as the rule counts it was kept. Change: an attempt starts only if enough time to connect is left. Before: both new tests failed. After: they pass. Conclusion: a client's short time says nothing about upstreams.

--- a/packages/node/src/turmericcrank_node/serving/in_flight_request.py
+++ b/packages/node/src/turmericcrank_node/serving/in_flight_request.py
@@ -20,7 +20,11 @@
 from turmericcrank_node.serving.client_exchange import ClientExchange
 from turmericcrank_node.state.in_flight_attempt import InFlightAttempt
 from turmericcrank_node.state.node_state import NodeState, read_boottime_s
-from turmericcrank_node.upstreams.attempt import AttemptFault, FaultKind
+from turmericcrank_node.upstreams.attempt import (
+    DEADLINE_MARGIN_S,
+    AttemptFault,
+    FaultKind,
+)
 from turmericcrank_node.upstreams.crash_block_checks import (
     is_blocked,
 )
@@ -311,7 +315,7 @@
         in_flight: The request.
         n_earlier: Number of earlier attempts; 0 for the first attempt.
     """
-    if time_left_s(in_flight) <= 0:
+    if time_left_s(in_flight) <= DEADLINE_MARGIN_S:
         return False
     if n_earlier == 0:
         return True
--- a/packages/node/src/turmericcrank_node/upstreams/attempt.py
+++ b/packages/node/src/turmericcrank_node/upstreams/attempt.py
@@ -29,6 +29,7 @@
 from turmericcrank_node.upstreams.upstream_access import connect_to_upstream
 
 __all__ = (
+    'DEADLINE_MARGIN_S',
     'HOST_UNRESPONSIVE',
     'NO_EVENT',
     'NO_RESPONSE',
@@ -41,7 +42,8 @@
 HOST_UNRESPONSIVE = 'host silent'
 NO_EVENT = 'timed out waiting for an event'
 NO_RESPONSE = 'timed out waiting for a response'
-_DEADLINE_MARGIN_S = 0.02
+# Time in which a client can still be told that its request was not sent.
+DEADLINE_MARGIN_S = 0.02
 _UNRESPONSIVE_REASONS = frozenset((NO_RESPONSE, HOST_UNRESPONSIVE, NO_EVENT))
 _BROKEN_REASONS = frozenset((ReadFault.reset, ReadFault.ended_early))
 _NOT_RUN_STATUSES = frozenset(
@@ -135,7 +137,7 @@
     """
     # Stop shortly before the deadline, so that the client can still be told
     # that the request was not sent.
-    connect_s = metadata.time_left_s - _DEADLINE_MARGIN_S
+    connect_s = metadata.time_left_s - DEADLINE_MARGIN_S
     if connect_s <= 0:
         return AttemptFault(
             FaultKind.not_sent, 'too little time left to connect'
--- a/tests/serving/test_passed_deadlines.py
+++ b/tests/serving/test_passed_deadlines.py
@@ -85,3 +85,25 @@
     state = trio.run(main)
     assert 'request_sent' in state.log.names()
     assert 'internal_fault' not in state.log.names()
+
+
+@pytest.mark.parametrize('kind', [CallKind.idempotent, CallKind.stream])
+def test_budget_no_retry_of_a_request_with_too_little_time_to_connect(kind):
+    """Each upstream was ejected for it, and a retry charged for the next."""
+
+    async def main():
+        route = make_route('bays', kind, max_attempts=3)
+        state = make_node_state(make_table(route))
+        async with trio.open_nursery() as nursery:
+            scripts = [[response_bytes()] for _ in range(4)]
+            await start_upstreams(nursery, state, *scripts)
+            client = await open_client(nursery, state)
+            await client.send_all(request_bytes('/bays/1', wait='0.015'))
+            received = await read_until(client, b'\r\n\r\n')
+            nursery.cancel_scope.cancel()
+        return state, received
+
+    state, received = trio.run(main)
+    assert received.startswith(b'HTTP/1.1 503')
+    assert not state.upstream_health.ejected_until_s_by_id
+    assert 'request_retried' not in state.log.names()
