Use one measure of the retry budget in the soak, and call its judges directly

Change: the line of figures uses the judge's measure; the judges are imported. Before: a missing judge judged nothing without saying so.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,14 +3,15 @@
 import argparse
 import asyncio
 import dataclasses
-import importlib.util
 import pathlib
 import pickle
 import sys
 import tempfile
-from typing import Any
 
 from tests.soak.figures import list_events, sum_up
+from tests.soak.finding import Finding
+from tests.soak.judge_budget import judge_budget
+from tests.soak.judge_lost import judge_lost
 from tests.soak.play import play
 from tests.soak.record import Run
 from tests.soak.scene import ALL_KINDS, Options
@@ -25,18 +26,11 @@
     'longest_pause_s',
     'crash_period_s',
 )
-_JUDGES = ('judge_lost', 'judge_budget')
 
 
-def judge(run: Run) -> list[Any]:
-    """Return the findings of all judges that there are."""
-    found = []
-    for name in _JUDGES:
-        if importlib.util.find_spec(f'tests.soak.{name}') is None:
-            continue
-        module = importlib.import_module(f'tests.soak.{name}')
-        found += getattr(module, name)(run)
-    return found
+def judge(run: Run) -> list[Finding]:
+    """Return the findings of both judges."""
+    return [*judge_lost(run), *judge_budget(run)]
 
 
 def main() -> int:
--- a/tests/soak/figures.py
+++ b/tests/soak/figures.py
@@ -1,9 +1,9 @@
 """Sums a run up in one line."""
 
-from bisect import bisect_left, bisect_right
 from collections import Counter
 
 from tests.soak.record import Ending, NodeEventKind, Run
+from tests.soak.retry_windows import find_retry_shares
 
 __all__ = ('list_events', 'sum_up')
 
@@ -60,45 +60,12 @@
         f'arrivals {len(run.arrivals)} (sender unknown {n_unknown})',
         f'nodes ended by themselves {n_own}',
         f'with an odd status {n_odd}',
-        f'retries in the worst window {find_worst_window(run):.2f}',
+        f'retries in the worst window {_find_worst_share(run):.2f}',
     ]
     return ', '.join(parts)
 
 
-def find_worst_window(run: Run) -> float:
+def _find_worst_share(run: Run) -> float:
     """Return the worst share of the retry budget of any service."""
-    bounds = run.bounds
-    window_s = bounds.retry_window_s
-    services = {arrival.service for arrival in run.arrivals}
-    worst = 0.0
-    for service in services:
-        sent = sorted(
-            one.began_s for one in run.requests if one.service == service
-        )
-        repeats = _find_repeats(run, service)
-        for number, end_s in enumerate(repeats):
-            first = bisect_left(repeats, end_s - window_s)
-            n_sent = max(
-                _count_between(sent, end_s - window_s - back_s, end_s - back_s)
-                for back_s in (0, window_s / 2, window_s)
-            )
-            allowed = bounds.retry_ratio * n_sent + bounds.retry_slack
-            worst = max(worst, (number + 1 - first) / allowed)
-    return worst
-
-
-def _find_repeats(run: Run, service: str) -> list[float]:
-    """Return when a service read more than the first of a request."""
-    seen: set[str] = set()
-    repeats = []
-    for arrival in run.arrivals:
-        if arrival.service != service:
-            continue
-        if arrival.request_id in seen:
-            repeats.append(arrival.read_s)
-        seen.add(arrival.request_id)
-    return sorted(repeats)
-
-
-def _count_between(times: list[float], begin_s: float, end_s: float) -> int:
-    return bisect_right(times, end_s) - bisect_left(times, begin_s)
+    shares = find_retry_shares(run).values()
+    return max((one.share for one in shares), default=0)
