--- a/tests/serving/test_pipelined_requests.py
+++ b/tests/serving/test_pipelined_requests.py
@@ -19,6 +19,11 @@
 _SMALL_ROOM_BYTES = 200_000
 _LONG_HEAD_BYTES = 15_000
 _PART_BYTES = 4096
+_BODY_BYTES = 6000
+_N_BEHIND_BODY = 14
+_POST = (
+    b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n' % _BODY_BYTES
+)
 # What is kept before the connection is no longer watched, and one read more.
 _MOST_HELD_BYTES = 2 * 65536
 
@@ -167,3 +172,28 @@
     n_held = _SMALL_ROOM_BYTES // _LONG_HEAD_BYTES
     assert len(answers) >= _N_CLIENTS - n_held
     assert all(raw.startswith(b'HTTP/1.1 503') for raw in answers)
+
+
+def test_lost_bytes_behind_bodies_keep_to_the_room_together():
+    """They are read with the end of a body, and are in no budget."""
+    play = Play(ByteBudget(_SMALL_ROOM_BYTES), work_s=1)
+    rest = b'x' * (_BODY_BYTES // 2)
+    begin = _POST + rest
+    n_kept = []
+
+    async def act(nursery, address):
+        clients = [
+            await trio.open_tcp_stream(*address) for _ in range(_N_CLIENTS)
+        ]
+        for client in clients:
+            await client.send_all(begin)
+        await trio.sleep(0.3)
+        for client in clients:
+            nursery.start_soon(client.send_all, rest + _HEAD * _N_BEHIND_BODY)
+        await trio.sleep(0.5)
+        n_read = _N_CLIENTS * len(begin + rest)
+        n_kept.append(play.n_received - n_read)
+
+    _pipeline(play, act)
+    n_parts = _N_CLIENTS * _PART_BYTES * 2
+    assert n_kept[0] <= _SMALL_ROOM_BYTES / 2 + n_parts
