--- a/tests/core/test_crash_evidence.py
+++ b/tests/core/test_crash_evidence.py
@@ -249,3 +249,16 @@
             (f'other-{number}', rare),
         )
     assert _culprits(history) == {'bad'}
+
+
+def test_budget_crashes_of_a_known_part_do_not_count_against_another():
+    """With two such parts at once, the second one took more crashes to find."""
+    history = CrashHistory()
+    for number in range(5):
+        for offset_s, part in enumerate(('one', 'two')):
+            suspect = Suspect(f'{part}-{number}', frozenset((part,)))
+            at_s = 10.0 + 2 * number + offset_s
+            record = CrashRecord(f'u{at_s}', at_s, frozenset((suspect,)))
+            add_crash(history, record)
+    known = {frozenset(('two',)): _LATER_S}
+    assert find_part_groups(history, known, _LATER_S) == [frozenset(('one',))]
