Log what is weighed against prompt parts, and what clears them

Change: event 621 lists the groups closest to being blamed after each judgement, 622 the keys of several crashes that output has cleared. No logic changes. Conclusion: the hypotheses can be told apart from a log.

--- a/packages/core/src/turmericcrank_core/crash_blocks.py
+++ b/packages/core/src/turmericcrank_core/crash_blocks.py
@@ -23,9 +23,11 @@
     record_proof,
 )
 from turmericcrank_core.crash_judgement import (
+    WeighedGroup,
     find_part_groups,
     find_requests,
     is_superseded,
+    weigh_part_groups,
 )
 
 __all__ = (
@@ -44,6 +46,7 @@
     'record_output_of',
     'report_crash',
     'start_test',
+    'weigh_suspects',
 )
 
 _FIRST_TEST_S = 20
@@ -174,6 +177,12 @@
     return added + lifted
 
 
+def weigh_suspects(guard: CrashGuard, now_s: float) -> list[WeighedGroup]:
+    """Return the groups of parts that ``judge_parts`` has not blamed yet."""
+    settled_s = now_s - _SETTLE_S
+    return weigh_part_groups(guard.history, _list_known(guard), settled_s)
+
+
 def record_output_of(
     guard: CrashGuard, keys: frozenset[str], at_s: float, now_s: float
 ) -> SuspectOutput:
--- a/packages/core/src/turmericcrank_core/crash_evidence.py
+++ b/packages/core/src/turmericcrank_core/crash_evidence.py
@@ -24,6 +24,7 @@
     'is_open',
     'is_suspect',
     'is_suspect_since',
+    'list_clearable',
     'record_proof',
 )
 
@@ -123,16 +124,23 @@
     Returns:
         The keys that were in a crash which no longer counts against them.
     """
-    proven = [
+    proven = list_clearable(history, keys, at_s)
+    for key in proven:
+        history.proven_s_by_key[key] = at_s
+    return proven
+
+
+def list_clearable(
+    history: CrashHistory, keys: Iterable[str], at_s: float
+) -> list[str]:
+    """Return the keys that output at a time clears of a crash, in order."""
+    return [
         key
         for key in sorted(keys)
         if history.proven_s_by_key.get(key, -math.inf)
         < history.crashed_s_by_key.get(key, -math.inf)
         < at_s
     ]
-    for key in proven:
-        history.proven_s_by_key[key] = at_s
-    return proven
 
 
 def count_crashes(history: CrashHistory, key: str) -> int:
--- a/packages/core/src/turmericcrank_core/crash_judgement.py
+++ b/packages/core/src/turmericcrank_core/crash_judgement.py
@@ -31,11 +31,19 @@
     is_open,
 )
 
-__all__ = ('find_part_groups', 'find_requests', 'is_superseded')
+__all__ = (
+    'WeighedGroup',
+    'find_part_groups',
+    'find_requests',
+    'is_superseded',
+    'weigh_part_groups',
+)
 
 _MIN_PART_REQUESTS = 2
 _MIN_REQUEST_CRASHES = 3
 _SAME_MOMENT_S = 0.3
+# Fewer crashes are no sign of a culprit yet.
+_MIN_WEIGHED_CRASHES = 3
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,6 +101,60 @@
     return found
 
 
+@dataclass(slots=True, frozen=True)
+class WeighedGroup:
+    """A group of parts that is not blamed yet, and what it takes.
+
+    Attributes:
+        parts: Keys of the parts.
+        n_crashes: Crashes that count against it.
+        n_needed: Crashes that it takes.
+        n_requests: Requests that carry it, over all of its crashes.
+        has_rival: Whether another group was in all of its crashes.
+    """
+
+    parts: frozenset[str]
+    n_crashes: int
+    n_needed: float
+    n_requests: int
+    has_rival: bool
+
+
+def weigh_part_groups(
+    history: CrashHistory,
+    until_s_by_known: Mapping[frozenset[str], float],
+    settled_s: float,
+) -> list[WeighedGroup]:
+    """Return the groups that are closest to being blamed, for the log.
+
+    Args:
+        history: Crashes of all nodes.
+        until_s_by_known: As for ``find_part_groups``.
+        settled_s: As for ``find_part_groups``.
+
+    Returns:
+        Groups with several crashes, those with most of them first.
+    """
+    settled = [crash for crash in history.crashes if crash.at_s <= settled_s]
+    crashes = _limit_explained(settled, until_s_by_known)
+    groups = _group_parts(history, crashes)
+    weighed = [
+        WeighedGroup(
+            group.parts,
+            _count_moments(crashes, group.crash_indices),
+            _ANY_RULE.min_crashes
+            + _count_other_moments(group, crashes) * _ANY_RULE.coincidence_rate,
+            len(group.carriers),
+            _has_rival(group, groups),
+        )
+        for group in groups
+        if len(group.crash_indices) >= _MIN_WEIGHED_CRASHES
+        and not _is_blamed(group, until_s_by_known)
+    ]
+    weighed.sort(key=lambda one: (-one.n_crashes, sorted(one.parts)))
+    return weighed
+
+
 def find_requests(
     history: CrashHistory, until_s_by_known: Mapping[frozenset[str], float]
 ) -> list[frozenset[str]]:
--- a/packages/core/src/turmericcrank_core/event_codes.py
+++ b/packages/core/src/turmericcrank_core/event_codes.py
@@ -68,6 +68,8 @@
     tunnel_failed = 618
     tunnel_served = 619
     upstream_brittle = 620
+    culprit_weighed = 621
+    suspect_cleared = 622
     draft_kept = 700
     draft_taken = 701
     draft_finished = 702
--- a/packages/node/src/turmericcrank_node/upstreams/crash_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/crash_detection.py
@@ -15,7 +15,7 @@
     take_ended,
     take_repeated,
 )
-from turmericcrank_core.crash_blocks import judge_parts
+from turmericcrank_core.crash_blocks import judge_parts, weigh_suspects
 from turmericcrank_core.crash_evidence import (
     CrashRecord,
     is_suspect_since,
@@ -45,6 +45,8 @@
 # The tasks of connections that broke at once run within this time.
 _SAME_MOMENT_S = 0.05
 _CHECK_INTERVAL_S = 0.01
+_MAX_LOGGED_GROUPS = 4
+_MAX_LOGGED_PARTS = 4
 # Nodes hear within this time of output that clears a sound request.
 _PROOF_WAIT_S = 1
 
@@ -107,8 +109,30 @@
     now_s = read_cluster_time_s(state)
     ended = take_ended(state.crash_guard.breaks, state.upstream_registry, now_s)
     _record_breaks(state, ended, 'row changed')
+    is_due = state.crash_guard.is_judgement_due
     blocks = judge_parts(state.crash_guard, now_s)
     announce_blocks(state, blocks, 'crash', audience=None)
+    if is_due and not state.crash_guard.is_judgement_due:
+        _log_weighed(state, now_s)
+
+
+def _log_weighed(state: NodeState, now_s: float) -> None:
+    """Log what was closest to being blamed once new crashes were judged."""
+    weighed = weigh_suspects(state.crash_guard, now_s)[:_MAX_LOGGED_GROUPS]
+    if weighed:
+        state.log.write(
+            EventCode.culprit_weighed,
+            groups=[
+                [
+                    sorted(one.parts)[:_MAX_LOGGED_PARTS],
+                    one.n_crashes,
+                    one.n_needed,
+                    one.n_requests,
+                    one.has_rival,
+                ]
+                for one in weighed
+            ],
+        )
 
 
 async def _find_crashed(
--- a/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
@@ -20,7 +20,12 @@
     record_output_of,
     report_crash,
 )
-from turmericcrank_core.crash_evidence import CrashRecord, Suspect
+from turmericcrank_core.crash_evidence import (
+    CrashRecord,
+    Suspect,
+    count_crashes,
+    list_clearable,
+)
 from turmericcrank_core.event_codes import EventCode
 
 from turmericcrank_node.platform_port import DecodedRequest
@@ -54,6 +59,7 @@
 
 _KEY_DIGITS = 12
 _MAX_LOGGED = 16
+_MIN_LOGGED_CRASHES = 3
 
 
 def fingerprint_request(call: DecodedRequest, team: str) -> str:
@@ -299,7 +305,13 @@
 ) -> list[str]:
     """Apply output of a request; return the keys that it clears."""
     now_s = read_cluster_time_s(state)
+    history = state.crash_guard.history
+    n_crashes_by_key = {
+        key: count_crashes(history, key)
+        for key in list_clearable(history, keys, at_s)
+    }
     output = record_output_of(state.crash_guard, keys, at_s, now_s)
+    _log_cleared(state, n_crashes_by_key, source)
     announce_blocks(state, output.lifted + output.blocks, source, audience)
     if audience is None:
         return output.proven_keys
@@ -308,6 +320,21 @@
     return output.proven_keys
 
 
+def _log_cleared(
+    state: NodeState,
+    n_crashes_by_key: Mapping[str, int],
+    source: str,
+) -> None:
+    """Log the keys that output has cleared of several crashes."""
+    cleared = {
+        key: n_crashes
+        for key, n_crashes in n_crashes_by_key.items()
+        if n_crashes >= _MIN_LOGGED_CRASHES
+    }
+    if cleared:
+        state.log.write(EventCode.suspect_cleared, keys=cleared, source=source)
+
+
 def announce_blocks(
     state: NodeState,
     blocks: Iterable[CrashBlock],
