Keep the block of a part whose repeated requests are blocked too

Cause: a new block was ended if other blocks explained its crashes better. Blocks of several requests that carry the part did so together, each in some of the crashes. Change: parts may explain together, of requests one alone has to. Figures: the test fails before.

--- a/packages/core/src/turmericcrank_core/crash_judgement.py
+++ b/packages/core/src/turmericcrank_core/crash_judgement.py
@@ -179,18 +179,34 @@
     group: frozenset[str],
     others: Collection[frozenset[str]],
 ) -> bool:
-    """Return whether other groups explain all crashes of a group better.
+    """Return whether other culprits explain all crashes of a group better.
+
+    Several parts may do so together. Of blocked requests one alone has to,
+    since several of them with the same part speak for the part.
+    """
+    requests = [one for one in others if _is_request(one, history.crashes)]
+    parts = [one for one in others if one not in requests]
+    return any(
+        _explain_better(history, group, explaining)
+        for explaining in (parts, *([one] for one in requests))
+    )
+
+
+def _explain_better(
+    history: CrashHistory,
+    group: frozenset[str],
+    others: Collection[frozenset[str]],
+) -> bool:
+    """Return whether others are at all crashes of a group, and fit better.
 
     They do if in each crash the requests with one of them are among those
     with the group, and in one crash there are fewer of them.
     """
     is_narrower = False
     for crash in history.crashes:
-        carriers = _list_carriers(_limit_to_begun(history, crash), group)
-        shares = [
-            _list_carriers(_limit_to_begun(history, crash), other)
-            for other in others
-        ]
+        limited = _limit_to_begun(history, crash)
+        carriers = _list_carriers(limited, group)
+        shares = [_list_carriers(limited, other) for other in others]
         fitting = [share for share in shares if share and share <= carriers]
         if carriers and not fitting:
             return False
--- a/tests/core/test_crash_blocks.py
+++ b/tests/core/test_crash_blocks.py
@@ -163,3 +163,19 @@
         judge_parts(guard, number + 0.5)
     assert find_block(guard, Suspect('r9', frozenset(('y', 'bad'))))
     assert find_block(guard, Suspect('n9', frozenset(('a', 'z')))) is None
+
+
+def test_budget_blocks_of_requests_do_not_end_the_block_of_their_part():
+    """Two requests, sent again and again, were at all crashes together."""
+    guard = CrashGuard()
+    for number in range(6):
+        at_s = 10 + 0.4 * number
+        suspects = frozenset(
+            Suspect(fingerprint, frozenset(('bad',)))
+            for fingerprint in (f'again-{number // 3}', f'once-{number}')
+        )
+        report_crash(guard, CrashRecord(f'u{number}', at_s, suspects), at_s)
+    assert find_block(guard, Suspect('again-0'))
+    assert find_block(guard, Suspect('again-1'))
+    judge_parts(guard, 20.0)
+    assert find_block(guard, Suspect('new', frozenset(('bad',))))
