Judge parts of prompts by whether any request with them was answered

Cause: parts were judged one group at a time. Crashes of one cause raised the number that the other needs, each was the rival of the other, crashes within 0.3 s counted once though a culprit waits at several upstreams, and a popular sound part was in the crashes of both. Class: evidence that is read for one cause where there are several. Ruled out: resets and pauses (the simulation has none), a late notice of crashes (0.02 s). Change: a part that crashes each upstream is never answered. Parts without answers are blamed for five crashes (three that had begun), also if others explain some; parts with answers only for crashes that nothing else explains. crash_judgement is split into part_evidence, part_judgement, request_judgement, block_succession and crash_suspects, crash_block leaves crash_blocks.

--- a/packages/core/src/turmericcrank_core/crash_blocks.py
+++ b/packages/core/src/turmericcrank_core/crash_blocks.py
@@ -9,12 +9,20 @@
 """
 
 import math
+from collections.abc import Collection
 from dataclasses import dataclass, field, replace
 
+from turmericcrank_core.block_succession import is_superseded
 from turmericcrank_core.connection_breaks import (
     BreakHistory,
     find_answered_since,
 )
+from turmericcrank_core.crash_block import (
+    CrashBlock,
+    is_active,
+    is_same_state,
+    merge_reports,
+)
 from turmericcrank_core.crash_evidence import (
     CrashHistory,
     CrashRecord,
@@ -22,38 +30,26 @@
     add_crash,
     record_proof,
 )
-from turmericcrank_core.crash_judgement import (
+from turmericcrank_core.part_judgement import (
     WeighedGroup,
     find_part_groups,
-    find_requests,
-    is_superseded,
     weigh_part_groups,
 )
+from turmericcrank_core.request_judgement import find_requests
 
 __all__ = (
-    'CrashBlock',
     'CrashGuard',
     'SuspectOutput',
     'expire_blocks',
     'find_block',
-    'is_active',
-    'is_test_due',
     'judge_parts',
-    'is_same_state',
     'merge_block',
-    'name_test_turn',
-    'next_test_s',
     'record_output_of',
     'report_crash',
     'start_test',
     'weigh_suspects',
 )
 
-_FIRST_TEST_S = 20
-_TEST_INTERVAL_FACTOR = 8
-_TEST_TURN_S = 5
-# A test that fails costs an upstream.
-_MAX_TESTS = 3
 _RETENTION_S = 86_400
 _LIFTED_RETENTION_S = 120
 _MAX_BLOCKS = 256
@@ -63,30 +59,6 @@
 _SETTLE_S = 0.4
 
 
-@dataclass(slots=True, frozen=True)
-class CrashBlock:
-    """A block of requests that carry all of some keys.
-
-    All times are on a clock that all nodes share, in seconds.
-
-    Attributes:
-        keys: A fingerprint, or keys of prompt parts.
-        since_s: When it was decided.
-        crash_s: Newest crash that it was decided from.
-        n_tests: Requests that were sent as tests since.
-        tested_s: When the last of them was sent; 0 for never.
-        lifted_s: Newest output of a request that carries the keys; 0 for
-            none.
-    """
-
-    keys: frozenset[str]
-    since_s: float
-    crash_s: float
-    n_tests: int = 0
-    tested_s: float = 0
-    lifted_s: float = 0
-
-
 @dataclass(slots=True)
 class CrashGuard:
     """Crashes of all nodes, and the blocks that follow from them.
@@ -121,11 +93,6 @@
     blocks: list[CrashBlock] = field(default_factory=list)
 
 
-def is_active(block: CrashBlock) -> bool:
-    """Return whether a block stops requests."""
-    return block.lifted_s <= block.crash_s
-
-
 def find_block(guard: CrashGuard, suspect: Suspect) -> CrashBlock | None:
     """Return the active block that stops a request; None if there is none."""
     if not guard.blocks_by_keys:
@@ -171,7 +138,9 @@
         return []
     settled_s = now_s - _SETTLE_S
     guard.is_judgement_due = guard.history.crashes[-1].at_s > settled_s
-    groups = find_part_groups(guard.history, _list_known(guard), settled_s)
+    groups = find_part_groups(
+        guard.history, _list_known(guard), settled_s, _list_answered(guard)
+    )
     added = _add_blocks(guard, groups, now_s)
     lifted = _lift_superseded(guard, now_s) if added else []
     return added + lifted
@@ -180,7 +149,9 @@
 def weigh_suspects(guard: CrashGuard, now_s: float) -> list[WeighedGroup]:
     """Return the groups of parts that ``judge_parts`` has not blamed yet."""
     settled_s = now_s - _SETTLE_S
-    return weigh_part_groups(guard.history, _list_known(guard), settled_s)
+    return weigh_part_groups(
+        guard.history, _list_known(guard), settled_s, _list_answered(guard)
+    )
 
 
 def record_output_of(
@@ -216,35 +187,11 @@
     known = guard.blocks_by_keys.get(reported.keys)
     if known is None and len(guard.blocks_by_keys) >= _MAX_BLOCKS:
         return False
-    merged = reported if known is None else _merge(known, reported)
+    merged = reported if known is None else merge_reports(known, reported)
     guard.blocks_by_keys[merged.keys] = merged
     return known is None or not is_same_state(known, merged)
 
 
-def is_same_state(one: CrashBlock, other: CrashBlock) -> bool:
-    """Return whether two reports of a block let the same requests through."""
-    return is_active(one) == is_active(other) and one.n_tests == other.n_tests
-
-
-def is_test_due(block: CrashBlock, now_s: float) -> bool:
-    """Return whether one blocked request should be sent as a test."""
-    return block.n_tests < _MAX_TESTS and now_s >= next_test_s(block)
-
-
-def next_test_s(block: CrashBlock) -> float:
-    """Return when the next test is due, in seconds."""
-    last_s = max(block.since_s, block.tested_s)
-    return last_s + _FIRST_TEST_S * _TEST_INTERVAL_FACTOR**block.n_tests
-
-
-def name_test_turn(block: CrashBlock, now_s: float) -> str:
-    """Return a name for which the nodes choose the one that may test a block.
-
-    It changes with time, since the chosen node may get no such request.
-    """
-    return f'{min(block.keys)}/{int(now_s / _TEST_TURN_S)}'
-
-
 def start_test(
     guard: CrashGuard, block: CrashBlock, now_s: float
 ) -> CrashBlock:
@@ -282,6 +229,12 @@
     }
 
 
+def _list_answered(guard: CrashGuard) -> Collection[str]:
+    """Return the keys that were answered, at this node or since a crash."""
+    answered = guard.breaks.answered_s_by_key.keys()
+    return answered | guard.history.proven_s_by_key.keys()
+
+
 def _lift_superseded(guard: CrashGuard, now_s: float) -> list[CrashBlock]:
     """End blocks all of whose crashes other blocks explain better."""
     active = [
@@ -336,19 +289,3 @@
 def _store(guard: CrashGuard, block: CrashBlock) -> CrashBlock:
     guard.blocks_by_keys[block.keys] = block
     return block
-
-
-def _merge(known: CrashBlock, reported: CrashBlock) -> CrashBlock:
-    """Combine two reports of a block; one that began after its end is new."""
-    if not is_active(known) and reported.crash_s > known.lifted_s:
-        return reported
-    if not is_active(reported) and known.crash_s > reported.lifted_s:
-        return known
-    return CrashBlock(
-        known.keys,
-        min(known.since_s, reported.since_s),
-        max(known.crash_s, reported.crash_s),
-        max(known.n_tests, reported.n_tests),
-        max(known.tested_s, reported.tested_s),
-        max(known.lifted_s, reported.lifted_s),
-    )
--- a/packages/dev/src/turmericcrank_dev/broken_variants.py
+++ b/packages/dev/src/turmericcrank_dev/broken_variants.py
@@ -206,7 +206,7 @@
     ),
     Mutant(
         'several suspects of one crash are blamed',
-        f'{_CORE}/crash_judgement.py',
+        f'{_CORE}/request_judgement.py',
         '        if suspect.fingerprint != fingerprint',
         '        if suspect.fingerprint == ""',
         'tests/core/test_crash_evidence.py::'
--- a/packages/node/src/turmericcrank_node/control/crash_replication.py
+++ b/packages/node/src/turmericcrank_node/control/crash_replication.py
@@ -6,12 +6,14 @@
 
 import trio
 from turmericcrank_core import crash_blocks
-from turmericcrank_core.crash_blocks import (
+from turmericcrank_core.crash_block import (
     CrashBlock,
-    find_block,
     is_test_due,
-    merge_block,
     name_test_turn,
+)
+from turmericcrank_core.crash_blocks import (
+    find_block,
+    merge_block,
     record_output_of,
     start_test,
 )
--- a/packages/node/src/turmericcrank_node/membership/crash_rows.py
+++ b/packages/node/src/turmericcrank_node/membership/crash_rows.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from turmericcrank_core.crash_blocks import CrashBlock
+from turmericcrank_core.crash_block import CrashBlock
 from turmericcrank_core.crash_evidence import CrashRecord, Suspect
 
 __all__ = ('make_block_row', 'make_crash_row', 'parse_block', 'parse_crash')
--- a/packages/node/src/turmericcrank_node/upstreams/crash_block_checks.py
+++ b/packages/node/src/turmericcrank_node/upstreams/crash_block_checks.py
@@ -2,13 +2,12 @@
 
 from collections.abc import Iterable
 
-from turmericcrank_core.crash_blocks import (
-    find_block,
+from turmericcrank_core.crash_block import (
     is_test_due,
     name_test_turn,
     next_test_s,
-    start_test,
 )
+from turmericcrank_core.crash_blocks import find_block, start_test
 from turmericcrank_core.crash_evidence import Suspect
 from turmericcrank_core.hash_ring import find_owner
 from turmericcrank_core.sharing_nodes import find_sharing_ring
--- a/packages/node/src/turmericcrank_node/upstreams/crash_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/crash_detection.py
@@ -128,7 +128,7 @@
                     one.n_crashes,
                     one.n_needed,
                     one.n_requests,
-                    one.has_rival,
+                    one.has_answers,
                 ]
                 for one in weighed
             ],
--- a/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
@@ -12,10 +12,12 @@
     find_answered_since,
     record_answer,
 )
-from turmericcrank_core.crash_blocks import (
+from turmericcrank_core.crash_block import (
     CrashBlock,
     is_active,
     is_same_state,
+)
+from turmericcrank_core.crash_blocks import (
     merge_block,
     record_output_of,
     report_crash,
--- a/tests/core/test_crash_blocks.py
+++ b/tests/core/test_crash_blocks.py
@@ -5,13 +5,15 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from turmericcrank_core.crash_blocks import (
+from turmericcrank_core.crash_block import (
     CrashBlock,
+    is_active,
+    is_test_due,
+)
+from turmericcrank_core.crash_blocks import (
     CrashGuard,
     expire_blocks,
     find_block,
-    is_active,
-    is_test_due,
     judge_parts,
     merge_block,
     record_output_of,
--- a/tests/core/test_crash_evidence.py
+++ b/tests/core/test_crash_evidence.py
@@ -16,7 +16,8 @@
     is_suspect,
     record_proof,
 )
-from turmericcrank_core.crash_judgement import find_part_groups, find_requests
+from turmericcrank_core.part_judgement import find_part_groups
+from turmericcrank_core.request_judgement import find_requests
 
 _LATER_S = float('inf')
 _records = st.lists(
@@ -262,3 +263,66 @@
             add_crash(history, record)
     known = {frozenset(('two',)): _LATER_S}
     assert find_part_groups(history, known, _LATER_S) == [frozenset(('one',))]
+
+
+def _crash_waiting(history, at_s, *parts):
+    """Crash an upstream at which a new request with each part waits."""
+    suspects = frozenset(
+        Suspect(f'{part}-{at_s}', frozenset((part,))) for part in parts
+    )
+    add_crash(history, CrashRecord(f'u{at_s}', at_s, suspects))
+
+
+def test_budget_two_parts_that_wait_at_the_same_upstreams_are_both_found():
+    """Each needed more crashes for each one of the other."""
+    history = CrashHistory()
+    for number in range(4):
+        _crash_waiting(history, 10.0 + number, 'one', 'two')
+    for number in range(3):
+        _crash_waiting(history, 20.0 + number, 'one')
+    _crash_waiting(history, 30.0, 'two')
+    found = find_part_groups(history, {}, _LATER_S)
+    assert set(found) == {frozenset(('one',)), frozenset(('two',))}
+
+
+def test_budget_a_part_with_answers_is_not_blamed_in_place_of_two_without():
+    """It was in the crashes of both, so in more than either."""
+    history = CrashHistory()
+    for number in range(8):
+        part = ('one', 'two')[number % 2]
+        _crash_waiting(history, 10.0 + number, part, 'rules')
+    assert not find_part_groups(history, {}, _LATER_S, answered={'rules'})
+    for offset_s, part in enumerate(('one', 'two')):
+        _crash_waiting(history, 20.0 + offset_s, part)
+    found = find_part_groups(history, {}, _LATER_S, answered={'rules'})
+    assert set(found) == {frozenset(('one',)), frozenset(('two',))}
+
+
+def test_a_part_with_answers_is_not_blamed_for_one_request_without():
+    """One request with a new part was repeated, among many with an old one."""
+    history = CrashHistory()
+    for number in range(3):
+        _crash_prompts(
+            history,
+            10.0 + number,
+            ('again', 'rules new'),
+            (f'sound-{number}', f'rules part-{number}'),
+        )
+    assert not find_part_groups(history, {}, _LATER_S, answered={'rules'})
+
+
+def test_a_part_that_had_answers_is_found_once_nothing_else_explains():
+    history = CrashHistory()
+    for number in range(5):
+        _crash_prompts(history, 10.0 + number, (f'r{number}', 'turned'))
+    found = find_part_groups(history, {}, _LATER_S, answered={'turned'})
+    assert found == [frozenset(('turned',))]
+
+
+def test_a_loss_of_power_blames_no_part_without_answers():
+    history = CrashHistory()
+    for number in range(9):
+        _crash_prompts(
+            history, 10 + number / 40, (f'r{number}', f'new part-{number}')
+        )
+    assert not find_part_groups(history, {}, _LATER_S)
--- a/tests/membership/test_crashing_parts.py
+++ b/tests/membership/test_crashing_parts.py
@@ -4,7 +4,7 @@
 
 import pytest
 import trio
-from turmericcrank_core.crash_blocks import is_active
+from turmericcrank_core.crash_block import is_active
 from turmericcrank_node.upstreams.poison_detection import make_suspect
 
 from tests.crash_simulation import (
@@ -167,6 +167,34 @@
     _run_in_simulation(act)
 
 
+@pytest.mark.parametrize('n_parts', [1, 2, 3])
+@pytest.mark.parametrize('seed', [5, 9, 19])
+def test_budget_parts_that_crash_upstreams_before_the_head(n_parts, seed):
+    """Several wait at each upstream, and take all of them down together."""
+    parts = [f'crashing-{number}' for number in range(n_parts)]
+
+    def act():
+        simulation = start_crash_simulation(
+            {'north': 3, 'south': 2, 'west': 2}, 7, 25, seed=seed
+        )
+        simulation.has_heads = False
+        simulation.repeats = 200
+        simulation.run(10)
+        for part in parts:
+            simulation.start_crashing(part, 2.5)
+            simulation.run(0.4)
+        simulation.run(18)
+        n_late = _count_late_of_each(simulation, 7, parts)
+        ends_s = simulation.now_s
+        share = share_begun_at_first(
+            simulation, 'first-0', ends_s - 8, ends_s - 1
+        )
+        assert max(n_late) <= _MAX_LATE_ARRIVALS
+        assert share > 1 / 2
+
+    _run_in_simulation(act)
+
+
 def test_ordinary_crashes_alone_block_no_part():
     def act():
         simulation = start_crash_simulation({'north': 7}, 6, 20)
