Let no blocked request end the block of a part

Cause: a block ended if others explained all its crashes better, but in crashes in which another response had begun the part counted as absent. One request that carries it, and that was blocked itself, explained the only crash that was left. Change: all suspects of a crash count, and only parts explain a part.

--- a/packages/core/src/turmericcrank_core/block_succession.py
+++ b/packages/core/src/turmericcrank_core/block_succession.py
@@ -3,11 +3,7 @@
 from collections.abc import Collection
 
 from turmericcrank_core.crash_evidence import CrashHistory
-from turmericcrank_core.crash_suspects import (
-    is_request,
-    limit_to_begun,
-    list_carriers,
-)
+from turmericcrank_core.crash_suspects import is_request, list_carriers
 
 __all__ = ('is_superseded',)
 
@@ -17,34 +13,17 @@
     group: frozenset[str],
     others: Collection[frozenset[str]],
 ) -> bool:
-    """Return whether other culprits explain all crashes of a group better.
-
-    Several parts may do so together. Of blocked requests one alone has to,
-    since several of them with the same part speak for the part.
-    """
-    requests = [one for one in others if is_request(one, history.crashes)]
-    parts = [one for one in others if one not in requests]
-    return any(
-        _explain_better(history, group, explaining)
-        for explaining in (parts, *([one] for one in requests))
-    )
-
-
-def _explain_better(
-    history: CrashHistory,
-    group: frozenset[str],
-    others: Collection[frozenset[str]],
-) -> bool:
-    """Return whether others are at all crashes of a group, and fit better.
+    """Return whether other parts explain all crashes of a group better.
 
     They do if in each crash the requests with one of them are among those
-    with the group, and in one crash there are fewer of them.
+    with the group, and in one crash there are fewer of them. Blocked requests
+    explain no part: those with the same part speak for the part.
     """
+    parts = [one for one in others if not is_request(one, history.crashes)]
     is_narrower = False
     for crash in history.crashes:
-        limited = limit_to_begun(history, crash)
-        carriers = list_carriers(limited, group)
-        shares = [list_carriers(limited, other) for other in others]
+        carriers = list_carriers(crash, group)
+        shares = [list_carriers(crash, part) for part in parts]
         fitting = [share for share in shares if share and share <= carriers]
         if carriers and not fitting:
             return False
--- a/packages/core/src/turmericcrank_core/request_judgement.py
+++ b/packages/core/src/turmericcrank_core/request_judgement.py
@@ -66,32 +66,33 @@
 ) -> Iterator[str]:
     """Yield the requests that alone were in all of several crashes."""
     indices_by_key: dict[str, set[int]] = {}
-    fingerprints: set[str] = set()
-    for index, key, is_request in _iter_open_keys(history, crashes):
+    for index, key, _ in _iter_open_keys(history, crashes):
         indices_by_key.setdefault(key, set()).add(index)
-        if is_request:
-            fingerprints.add(key)
-    for fingerprint in sorted(fingerprints):
-        indices = indices_by_key[fingerprint]
-        own_keys = _find_keys(crashes, fingerprint)
-        rivals = (
-            key
-            for key, others in indices_by_key.items()
-            if others >= indices and key not in own_keys
-        )
-        n_crashes = count_moments(crashes, indices)
-        if n_crashes >= _MIN_REQUEST_CRASHES and not any(rivals):
+    for fingerprint, own_keys in _find_own_keys(crashes).items():
+        indices = indices_by_key.get(fingerprint, set())
+        is_often = count_moments(crashes, indices) >= _MIN_REQUEST_CRASHES
+        if is_often and not _has_rival(indices_by_key, indices, own_keys):
             yield fingerprint
 
 
-def _find_keys(crashes: list[CrashRecord], fingerprint: str) -> frozenset[str]:
-    return frozenset().union(
-        *(
-            suspect.keys
-            for crash in crashes
-            for suspect in crash.suspects
-            if suspect.fingerprint == fingerprint
-        )
+def _find_own_keys(crashes: list[CrashRecord]) -> dict[str, frozenset[str]]:
+    """Return the keys of each request, by its fingerprint."""
+    return {
+        suspect.fingerprint: suspect.keys
+        for crash in crashes
+        for suspect in crash.suspects
+    }
+
+
+def _has_rival(
+    indices_by_key: Mapping[str, set[int]],
+    indices: set[int],
+    own_keys: frozenset[str],
+) -> bool:
+    """Return whether a key of other requests was in all of some crashes."""
+    return any(
+        indices_by_key[key] >= indices
+        for key in indices_by_key.keys() - own_keys
     )
 
 
--- a/tests/core/test_crash_blocks.py
+++ b/tests/core/test_crash_blocks.py
@@ -181,3 +181,22 @@
     assert find_block(guard, Suspect('again-1'))
     judge_parts(guard, 20.0)
     assert find_block(guard, Suspect('new', frozenset(('bad',))))
+
+
+def test_budget_a_request_does_not_end_the_block_of_a_part_that_waited():
+    """In all crashes but one another response had begun, and hid the part."""
+    guard = CrashGuard()
+    for number in range(6):
+        at_s = 10.0 + number
+        suspects = {
+            Suspect(f'new-{number}', frozenset(('bad',))),
+            Suspect('again', frozenset(('bad',))),
+        }
+        if number:
+            begun = frozenset((f'part-{number}',))
+            suspects.add(Suspect(f'begun-{number}', begun, has_begun=True))
+        crash = CrashRecord(f'u{number}', at_s, frozenset(suspects))
+        report_crash(guard, crash, at_s)
+        judge_parts(guard, at_s + 0.5)
+    assert find_block(guard, Suspect('again'))
+    assert find_block(guard, Suspect('other', frozenset(('bad',))))
