Repeat the blocks of parts beside those of requests

Cause: each message repeats one block at random for nodes that missed it. In a series of crashes there are dozens of blocks of requests, so that of the part came seldom. Change: each message repeats one block of a part and one of a request. Figures: the new test fails before.

--- a/packages/node/src/turmericcrank_node/membership/crash_fields.py
+++ b/packages/node/src/turmericcrank_node/membership/crash_fields.py
@@ -9,11 +9,10 @@
 )
 from turmericcrank_node.state.crash_reports import Audience, iter_pending
 from turmericcrank_node.state.node_state import NodeState
+from turmericcrank_node.upstreams.poison_detection import is_part_key
 
 __all__ = ('make_crash_fields',)
 
-_N_REPEATED_BLOCKS = 1
-
 
 def make_crash_fields(state: NodeState, audience: Audience) -> dict[str, Any]:
     """Return crashes, output of suspects and blocks that others must hear of.
@@ -34,11 +33,19 @@
 
 
 def _iter_blocks(state: NodeState, audience: Audience) -> Iterator[list[Any]]:
-    """Yield the blocks that changed, and another one for new nodes."""
+    """Yield the blocks that changed, and others for new nodes.
+
+    These are one of parts and one of requests: there may be many of requests,
+    and a node without that of a part sends all new requests with it.
+    """
     by_keys = state.crash_guard.blocks_by_keys
-    repeated = state.random_source.sample(
-        list(by_keys), min(len(by_keys), _N_REPEATED_BLOCKS)
-    )
+    of_parts = [keys for keys in by_keys if any(map(is_part_key, keys))]
+    of_requests = [keys for keys in by_keys if keys not in of_parts]
+    repeated = [
+        state.random_source.choice(blocks)
+        for blocks in (of_parts, of_requests)
+        if blocks
+    ]
     changed = iter_pending(state.crash_reports.by_block, audience)
     chosen = dict.fromkeys((*changed, *repeated))
     for keys in chosen:
--- a/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
@@ -46,6 +46,7 @@
 __all__ = (
     'announce_blocks',
     'fingerprint_request',
+    'is_part_key',
     'make_part_key',
     'make_suspect',
     'merge_crash_report',
@@ -60,6 +61,8 @@
 )
 
 _KEY_DIGITS = 12
+# Fingerprints of requests are hexadecimal.
+_PART_PREFIX = 'p'
 _MAX_LOGGED = 16
 _MIN_LOGGED_CRASHES = 3
 
@@ -263,7 +266,13 @@
 def make_part_key(service: str, part: str) -> str:
     """Return the key of a prompt part, of a fixed length."""
     named = f'{service}/{part}'.encode('utf-8', 'surrogatepass')
-    return f'p{xxhash.xxh3_64_hexdigest(named)[:_KEY_DIGITS]}'
+    digest = xxhash.xxh3_64_hexdigest(named)[:_KEY_DIGITS]
+    return f'{_PART_PREFIX}{digest}'
+
+
+def is_part_key(key: str) -> bool:
+    """Return whether a key is that of a part, not of a request."""
+    return key.startswith(_PART_PREFIX)
 
 
 def _report_answers(
--- a/tests/membership/test_crashing_parts.py
+++ b/tests/membership/test_crashing_parts.py
@@ -4,7 +4,9 @@
 
 import pytest
 import trio
-from turmericcrank_core.crash_block import is_active
+from turmericcrank_core.crash_block import CrashBlock, is_active
+from turmericcrank_node.membership.crash_fields import make_crash_fields
+from turmericcrank_node.state.crash_reports import Audience
 from turmericcrank_node.upstreams.poison_detection import make_suspect
 
 from tests.crash_simulation import (
@@ -13,6 +15,8 @@
     share_begun_at_first,
     start_crash_simulation,
 )
+from tests.router_builders import make_route, make_table
+from tests.router_fakes import make_node_state
 from tests.virtual_clock import use_virtual_clock
 
 _PART = 'crashing'
@@ -223,6 +227,20 @@
     _run_in_simulation(act)
 
 
+def test_budget_new_nodes_hear_soon_of_a_blocked_part_among_many_requests():
+    """Nodes that had just started sent a part that was blocked elsewhere."""
+    state = make_node_state(make_table(make_route()))
+    part = make_suspect('engine', '', [_PART]).parts
+    requests = [frozenset((f'{number:016x}',)) for number in range(40)]
+    for keys in (part, *requests):
+        block = CrashBlock(keys, since_s=10.0, crash_s=9.0)
+        state.crash_guard.blocks_by_keys[keys] = block
+    for _ in range(3):
+        rows = make_crash_fields(state, Audience.everyone)['blocks']
+        assert sorted(part) in [row[0] for row in rows]
+        assert len(rows) == 2
+
+
 def _count_sent_bytes_per_s(simulation):
     """Return what a node sends, on average, while upstreams crash."""
     since_s = simulation.now_s - _CRASHING_S
