Tell parts with answers from those without on the own interface too

What callers saw: nothing yet; found by looking for the same elsewhere. On the project's own interface a system text that is often answered would be blocked for five crashes within a second. Cause: judges parts by what a node has answered, which only the platform's way in recorded; the own interface recorded it only after a crash. Change: each answer is recorded there too.

--- a/packages/core/src/turmericcrank_core/connection_breaks.py
+++ b/packages/core/src/turmericcrank_core/connection_breaks.py
@@ -29,6 +29,7 @@
     'find_answered_since',
     'has_ended_before',
     'record_answer',
+    'record_answered_keys',
     'take_ended',
     'take_repeated',
 )
@@ -134,7 +135,7 @@
     """Record that an upstream answers a request with these keys."""
     history.answered_s_by_id[upstream.upstream_id] = at_s
     history.broken_s_by_id.pop(upstream.upstream_id, None)
-    _keep_answer_times(history.answered_s_by_key, keys, at_s)
+    record_answered_keys(history, keys, at_s)
     service = upstream.service
     count = history.n_answers_by_service.get(service, 0)
     history.n_answers_by_service[service] = count + 1
@@ -214,9 +215,11 @@
     ]
 
 
-def _keep_answer_times(
-    answered_s_by_key: dict[str, float], keys: frozenset[str], at_s: float
+def record_answered_keys(
+    history: BreakHistory, keys: frozenset[str], at_s: float
 ) -> None:
+    """Record that a request with these keys was answered."""
+    answered_s_by_key = history.answered_s_by_key
     for key in keys:
         answered_s_by_key.pop(key, None)
         answered_s_by_key[key] = at_s
--- a/packages/node/src/turmericcrank_node/control/crash_replication.py
+++ b/packages/node/src/turmericcrank_node/control/crash_replication.py
@@ -6,6 +6,7 @@
 
 import trio
 from turmericcrank_core import crash_blocks
+from turmericcrank_core.connection_breaks import record_answered_keys
 from turmericcrank_core.crash_block import (
     CrashBlock,
     is_test_due,
@@ -151,6 +152,7 @@
 
 
 def _record_proof(ctx: NodeContext, suspect: Suspect, at_s: float) -> None:
+    record_answered_keys(ctx.crash_guard.breaks, suspect.keys, at_s)
     output = record_output_of(ctx.crash_guard, suspect.keys, at_s, time.time())
     _announce(ctx, output.lifted + output.blocks, 'response')
     if output.proven_keys or output.lifted:
--- a/tests/node/test_crash_replication.py
+++ b/tests/node/test_crash_replication.py
@@ -91,3 +91,24 @@
         return ctx
 
     assert not is_blocked(run(main), _make_suspect('crashing', 'again'))
+
+
+def test_a_message_that_was_answered_before_is_not_blocked_at_once(clock):
+    """Upstreams that end one after the other are no sign against it."""
+
+    async def main(_nursery):
+        ctx = make_context(FakeStore(make_state()))
+        answered = InFlightAttempt(_make_suspect('shared', 'question'))
+        ctx.in_flight['u0'] = {'r0': answered}
+        record_response(ctx, 'u0', 'r0')
+        for number in range(_N_CRASHES):
+            clock.now_s += 0.15
+            suspect = _make_suspect('shared', f'question {number}')
+            attempt = InFlightAttempt(suspect)
+            ctx.in_flight[f'u{number}'] = {'r1': attempt}
+            await report_crash(ctx, f'u{number}', [attempt])
+        clock.now_s += 1
+        judge_crashes(ctx)
+        return is_blocked(ctx, _make_suspect('shared', 'another'))
+
+    assert not run(main)
