Blame a request again that crashes upstreams after its block has ended

What callers saw: nothing yet; found by reading the change once more. A request whose block had ended by an answer and that crashed upstreams again would not have been blocked for two minutes, as long as the ended block is kept. Cause: left out what is known, also blocks that have ended. Change: only crashes that a known culprit explains are left out, as before. Figures: the new test fails before; unit tests of crashes and blocks pass.

--- a/packages/core/src/turmericcrank_core/request_judgement.py
+++ b/packages/core/src/turmericcrank_core/request_judgement.py
@@ -45,11 +45,7 @@
         *_iter_requests_to_blame(history, begun),
         *_iter_waiting_to_blame(history, crashes),
     }
-    return [
-        frozenset((fingerprint,))
-        for fingerprint in sorted(fingerprints)
-        if frozenset((fingerprint,)) not in until_s_by_known
-    ]
+    return [frozenset((fingerprint,)) for fingerprint in sorted(fingerprints)]
 
 
 def _is_explained(
--- a/tests/core/test_crash_evidence.py
+++ b/tests/core/test_crash_evidence.py
@@ -295,6 +295,17 @@
     assert find_requests(history, {}) == [frozenset(('poison',))]
 
 
+def test_budget_a_request_that_turned_sound_is_found_when_it_crashes_again():
+    history = CrashHistory()
+    for number in range(3):
+        _crash(history, f'u{number}', 10.0 + number, 'poison')
+    known = {frozenset(('poison',)): 30.0}
+    assert not find_requests(history, known)
+    for number in range(3):
+        _crash(history, f'v{number}', 40.0 + number, 'poison')
+    assert find_requests(history, known) == [frozenset(('poison',))]
+
+
 def test_a_waiting_request_is_not_blamed_beside_a_part_in_all_its_crashes():
     history = CrashHistory()
     for number in range(3):
