Let endless streams earn nothing while they wait

Cause: a stream that had used up its free rate went on earning it while it waited for the shared rate. So the sum was n times 1 MiB/s beside the 8 MiB/s for all, and rose with the number of endless streams: a bound for each again. Change: the time of a planned wait earns nothing. A stream at the rate of a model never waits, so nothing changes for it (its property test holds). Conclusion: the sum is bounded but for one burst of 1 MiB for each response.

--- a/packages/core/src/turmericcrank_core/inbound/read_pace.py
+++ b/packages/core/src/turmericcrank_core/inbound/read_pace.py
@@ -6,6 +6,7 @@
 
 A stream may be read freely up to a rate far above that of a model. Beyond it,
 all streams share one rate, and a stream that finds nothing left of it waits.
+It earns nothing while it waits, so endless streams keep to that rate together.
 Costs are counted in bytes; a chunk or an event costs as much as the bytes that
 take about as long.
 """
@@ -27,7 +28,7 @@
 
     Attributes:
         free_bytes: Bytes left now.
-        updated_s: When that was computed, in seconds; None at the start.
+        updated_s: From when it earns more, in seconds; None at the start.
     """
 
     free_bytes: float = _FREE_BURST_BYTES
@@ -72,4 +73,5 @@
         return 0
     began_s = max(now_s, shared.paid_until_s)
     shared.paid_until_s = began_s + excess_bytes / _SHARED_BYTES_PER_S
+    pace.updated_s = shared.paid_until_s
     return shared.paid_until_s - now_s
