End a block by a test of a node that only heard of it

Callers saw: sound parts may stay blocked after their test was answered, up to the next test (160 s later, then 1,280 s). Cause: output of a request was recorded only at nodes that know a crash. A node that started after the crashes knows the block alone; when the turn of the test falls on it, its answer was dropped. Change: output is recorded if crashes or blocks are known, as in record_output_of.

--- a/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
@@ -302,9 +302,9 @@
 
 def _record_proof(state: NodeState, keys: frozenset[str], at_s: float) -> None:
     """Record output of a request of this node, and report what it clears."""
-    if not state.crash_guard.history.crashes:
-        return
-    _apply_proof(state, keys, at_s, 'response', Audience.everyone)
+    guard = state.crash_guard
+    if guard.history.crashes or guard.blocks_by_keys:
+        _apply_proof(state, keys, at_s, 'response', Audience.everyone)
 
 
 def _apply_proof(
--- a/tests/core/test_read_pace.py
+++ b/tests/core/test_read_pace.py
@@ -65,7 +65,7 @@
 
 @pytest.mark.parametrize('n_streams', [1, 12, 100])
 def test_endless_streams_earn_nothing_while_they_wait(n_streams):
-    """Each earned a free rate beside the shared one, so many kept a node busy."""
+    """Each earned a free rate while it waited, so many kept a node busy."""
     n_bytes = 100_000
     burst_bytes = n_streams * (_FREE_BURST_BYTES + n_bytes)
     n_read = _read_side_by_side(n_streams, n_bytes, 10.0)
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -136,7 +136,7 @@
         api_key=find_header(headers, b'key'),
         client_timeout_s=float(wait) if wait else None,
         session=find_header(headers, b'session'),
-        shared_parts=(),
+        shared_parts=tuple(find_header(headers, b'parts').split()),
         last_event_id=find_header(headers, b'last'),
         allows_model_choice=True,
     )
--- a/tests/serving/test_poison_requests.py
+++ b/tests/serving/test_poison_requests.py
@@ -1,11 +1,21 @@
 """Poison requests, which crash each upstream that runs them."""
 
 import functools
+from dataclasses import replace
 
 import trio
+from turmericcrank_core.connection_breaks import record_answered_keys
+from turmericcrank_core.crash_block import CrashBlock, is_active
 from turmericcrank_core.routing import CallKind
 from turmericcrank_core.upstream_registry import record_listed
+from turmericcrank_node.membership.crash_fields import make_crash_fields
+from turmericcrank_node.state.crash_reports import Audience
+from turmericcrank_node.state.node_state import read_cluster_time_s
 from turmericcrank_node.upstreams.crash_detection import judge_crashes
+from turmericcrank_node.upstreams.poison_detection import (
+    make_suspect,
+    merge_reported_block,
+)
 
 from tests.router_builders import make_route, make_table, make_upstream
 from tests.router_fakes import (
@@ -20,6 +30,8 @@
     response_bytes,
 )
 
+_PART = 'crashing'
+
 
 class _CrashingUpstream:
     """An upstream that stops listening once it reads a poison request."""
@@ -186,9 +198,13 @@
 
 
 async def _send(nursery, state, **fields):
+    return (await _request_head(nursery, state, **fields))[9:12]
+
+
+async def _request_head(nursery, state, **fields):
     client = await open_client(nursery, state)
     await client.send_all(request_bytes('/bays/1', **fields))
-    return (await read_until(client, b'\r\n\r\n'))[9:12]
+    return await read_until(client, b'\r\n\r\n')
 
 
 async def _start_held_upstreams(nursery, state, count):
@@ -270,3 +286,61 @@
         return state.crash_guard.history.crashes
 
     assert not trio.run(main)
+
+
+def _block_part(state, service):
+    """Block a part at a service; return its crash time, in seconds."""
+    crash_s = read_cluster_time_s(state) - 1
+    keys = make_suspect(service, '', [_PART]).parts
+    block = CrashBlock(keys, since_s=crash_s, crash_s=crash_s)
+    merge_reported_block(state, block, 'n2', None)
+    return crash_s
+
+
+def _send_blocked_part(service, *, is_answered_before=False, age_s=0):
+    """Send a part to one service that is blocked there or at another one.
+
+    Args:
+        service: Service at which it is blocked; it is sent to ``engine``.
+        is_answered_before: Whether that has answered it.
+        age_s: Age of the blocks when it is sent again, in seconds; 0 for not.
+
+    Returns:
+        The heads of the responses, the requests that arrived, and the node.
+    """
+
+    async def main():
+        state = _make_state()
+        async with trio.open_nursery() as nursery:
+            (fake,) = await start_upstreams(
+                nursery, state, [[response_bytes()] for _ in range(9)]
+            )
+            list_upstreams(state, make_upstream('o1', 'other'))
+            answers = []
+            if is_answered_before:
+                await _send(nursery, state, id='r1', parts=_PART)
+            _block_part(state, service)
+            answer = await _request_head(nursery, state, id='r2', parts=_PART)
+            answers.append(answer)
+            if age_s:
+                for keys, block in state.crash_guard.blocks_by_keys.items():
+                    aged = replace(block, since_s=block.since_s - age_s)
+                    state.crash_guard.blocks_by_keys[keys] = aged
+                for name in ('r3', 'r4'):
+                    answer = await _request_head(
+                        nursery, state, id=name, parts=_PART
+                    )
+                    answers.append(answer)
+            nursery.cancel_scope.cancel()
+        return answers, len(fake.requests), state
+
+    return trio.run(main)
+
+
+def test_a_block_that_a_node_only_heard_of_ends_by_its_test():
+    """A node that knew no crash recorded no output, so its test was in vain."""
+    answers, n_arrived, state = _send_blocked_part('engine', age_s=21)
+    assert [answer[9:12] for answer in answers] == [b'503', b'200', b'200']
+    assert n_arrived == 2
+    own = make_suspect('engine', '', [_PART]).parts
+    assert not is_active(state.crash_guard.blocks_by_keys[own])
