End a reported block where its parts were answered since its crashes

Callers saw: by reading, a sound part blocked by mistake stays blocked at nodes that have answers newer than its crashes, until another answer or the test. Cause: an answer ended only the blocks that a node knew at that moment. One that came before the report of the block was ignored, unless the report of the crash was late by a second (find_answered_since). Change: a block that arrives ends at once if each of its keys was answered here after its newest crash; the sender is told, as for any newer state.

--- a/packages/core/src/turmericcrank_core/crash_blocks.py
+++ b/packages/core/src/turmericcrank_core/crash_blocks.py
@@ -180,6 +180,8 @@
 def merge_block(guard: CrashGuard, reported: CrashBlock) -> bool:
     """Merge a block that another node reports.
 
+    It has ended if this node has seen answers to what it blocks since.
+
     Returns:
         Whether requests are stopped or let through by it that were not
         before, or a test was sent.
@@ -188,6 +190,10 @@
     if known is None and len(guard.blocks_by_keys) >= _MAX_BLOCKS:
         return False
     merged = reported if known is None else merge_reports(known, reported)
+    answered_s_by_key = guard.breaks.answered_s_by_key
+    answered_s = min(answered_s_by_key.get(key, 0) for key in merged.keys)
+    if is_active(merged) and answered_s > merged.crash_s:
+        merged = replace(merged, lifted_s=answered_s)
     guard.blocks_by_keys[merged.keys] = merged
     return known is None or not is_same_state(known, merged)
 
--- a/tests/serving/test_poison_requests.py
+++ b/tests/serving/test_poison_requests.py
@@ -344,3 +344,16 @@
     assert n_arrived == 2
     own = make_suspect('engine', '', [_PART]).parts
     assert not is_active(state.crash_guard.blocks_by_keys[own])
+
+
+def test_a_reported_block_ends_where_its_part_was_answered_since():
+    """Another node blocked it again, as it had not seen the answers."""
+    state = _make_state()
+    keys = make_suspect('engine', '', [_PART]).parts
+    crash_s = _block_part(state, 'engine')
+    record_answered_keys(state.crash_guard.breaks, keys, crash_s + 0.5)
+    assert is_active(state.crash_guard.blocks_by_keys[keys])
+    _block_part(state, 'engine')
+    assert not is_active(state.crash_guard.blocks_by_keys[keys])
+    rows = make_crash_fields(state, Audience.everyone)['blocks']
+    assert [row[0] for row in rows] == [sorted(keys)]
