Block a part also at the service to which its route moves

Cause: the key of a part names its service, so a block holds for one service and the part had to crash five upstreams of the other one first. Ruled out: keys without the service. Change: a request is checked for parts that are blocked at other services; if its own service has not answered them, a block begins there from the same crashes, with tests of its own (the first after 20 s), and is reported like any other. It costs nothing for requests whose parts this node has seen answered, or while no part is blocked. Its test goes through the router now, in place of one that asked is_blocked with the key of a service: that form could not tell which part a key stands for. It fails before (200, the request arrives at the upstream) and passes after (503 with Retry-After, none arrives).

--- a/packages/core/src/turmericcrank_core/crash_blocks.py
+++ b/packages/core/src/turmericcrank_core/crash_blocks.py
@@ -9,7 +9,7 @@
 """
 
 import math
-from collections.abc import Collection
+from collections.abc import Mapping, Set
 from dataclasses import dataclass, field, replace
 
 from turmericcrank_core.block_succession import is_superseded
@@ -41,6 +41,7 @@
     'CrashGuard',
     'SuspectOutput',
     'expire_blocks',
+    'extend_blocks',
     'find_block',
     'judge_parts',
     'merge_block',
@@ -177,6 +178,35 @@
     return SuspectOutput(proven_keys, lifted, blocks)
 
 
+def extend_blocks(
+    guard: CrashGuard, own_by_other: Mapping[str, str], now_s: float
+) -> list[CrashBlock]:
+    """Block parts at one service that are blocked at another one.
+
+    A route may move between services, and a part that crashes upstreams of
+    one would crash those of the other as often before it is blamed again.
+    Parts that were answered at the service are left out.
+
+    Args:
+        guard: Changed in place.
+        own_by_other: Keys of parts at the service, by those at the others.
+        now_s: Current time, in seconds.
+
+    Returns:
+        The blocks that have begun.
+    """
+    answered = _list_answered(guard)
+    extended = []
+    for block in list(guard.blocks_by_keys.values()):
+        if not is_active(block) or not block.keys <= own_by_other.keys():
+            continue
+        keys = frozenset(own_by_other[key] for key in block.keys) - answered
+        if keys and keys not in guard.blocks_by_keys:
+            begun = CrashBlock(keys, now_s, block.crash_s)
+            extended.append(_store(guard, begun))
+    return extended
+
+
 def merge_block(guard: CrashGuard, reported: CrashBlock) -> bool:
     """Merge a block that another node reports.
 
@@ -235,7 +265,7 @@
     }
 
 
-def _list_answered(guard: CrashGuard) -> Collection[str]:
+def _list_answered(guard: CrashGuard) -> Set[str]:
     """Return the keys that were answered, at this node or since a crash."""
     answered = guard.breaks.answered_s_by_key.keys()
     return answered | guard.history.proven_s_by_key.keys()
--- a/tests/membership/test_crashing_parts.py
+++ b/tests/membership/test_crashing_parts.py
@@ -7,7 +7,6 @@
 from turmericcrank_core.crash_block import CrashBlock, is_active
 from turmericcrank_node.membership.crash_fields import make_crash_fields
 from turmericcrank_node.state.crash_reports import Audience
-from turmericcrank_node.upstreams.crash_block_checks import is_blocked
 from turmericcrank_node.upstreams.poison_detection import make_suspect
 
 from tests.crash_simulation import (
@@ -228,16 +227,6 @@
     _run_in_simulation(act)
 
 
-def test_budget_a_blocked_part_stays_blocked_when_its_route_moves():
-    """A route moved to another service, whose upstreams it crashed again."""
-    state = make_node_state(make_table(make_route()))
-    keys = make_suspect('engine', '', [_PART]).parts
-    block = CrashBlock(keys, since_s=10.0, crash_s=9.0)
-    state.crash_guard.blocks_by_keys[keys] = block
-    assert is_blocked(state, make_suspect('engine', '', [_PART]))
-    assert is_blocked(state, make_suspect('other', '', [_PART]))
-
-
 def test_budget_new_nodes_hear_soon_of_a_blocked_part_among_many_requests():
     """Nodes that had just started sent a part that was blocked elsewhere."""
     state = make_node_state(make_table(make_route()))
--- a/tests/serving/test_poison_requests.py
+++ b/tests/serving/test_poison_requests.py
@@ -337,6 +337,19 @@
     return trio.run(main)
 
 
+def test_budget_a_blocked_part_stays_blocked_when_its_route_moves():
+    """A route moved to another service, whose upstreams it crashed again."""
+    (answer,), n_arrived, _ = _send_blocked_part('other')
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert b'retry-after' in answer.lower()
+    assert n_arrived == 0
+
+
+def test_a_part_that_a_service_has_answered_is_not_blocked_there():
+    (answer,), _, _ = _send_blocked_part('other', is_answered_before=True)
+    assert answer.startswith(b'HTTP/1.1 200')
+
+
 def test_a_block_that_a_node_only_heard_of_ends_by_its_test():
     """A node that knew no crash recorded no output, so its test was in vain."""
     answers, n_arrived, state = _send_blocked_part('engine', age_s=21)
