--- a/packages/core/src/turmericcrank_core/crash_blocks.py
+++ b/packages/core/src/turmericcrank_core/crash_blocks.py
@@ -100,11 +100,7 @@
         return None
     carried = suspect.keys
     return next(
-        (
-            block
-            for block in guard.blocks_by_keys.values()
-            if is_active(block) and block.keys <= carried
-        ),
+        (block for block in _list_active(guard) if block.keys <= carried),
         None,
     )
 
@@ -170,8 +166,8 @@
         return SuspectOutput()
     lifted = [
         _store(guard, replace(block, lifted_s=at_s))
-        for block in list(guard.blocks_by_keys.values())
-        if is_active(block) and block.keys <= keys and at_s > block.crash_s
+        for block in _list_active(guard)
+        if block.keys <= keys and at_s > block.crash_s
     ]
     proven_keys = record_proof(guard.history, keys, at_s)
     blocks = _narrow_blocks(guard, now_s) if proven_keys else []
@@ -197,8 +193,8 @@
     """
     answered = _list_answered(guard)
     extended = []
-    for block in list(guard.blocks_by_keys.values()):
-        if not is_active(block) or not block.keys <= own_by_other.keys():
+    for block in _list_active(guard):
+        if not block.keys <= own_by_other.keys():
             continue
         keys = frozenset(own_by_other[key] for key in block.keys) - answered
         if keys and keys not in guard.blocks_by_keys:
@@ -255,6 +251,12 @@
     return _add_blocks(guard, find_requests(guard.history, known), now_s)
 
 
+def _list_active(guard: CrashGuard) -> list[CrashBlock]:
+    return [
+        block for block in guard.blocks_by_keys.values() if is_active(block)
+    ]
+
+
 def _list_known(guard: CrashGuard) -> dict[frozenset[str], float]:
     """Return the culprits, and until when they explain crashes."""
     return {
@@ -273,11 +275,7 @@
 
 def _lift_superseded(guard: CrashGuard, now_s: float) -> list[CrashBlock]:
     """End blocks all of whose crashes other blocks explain better."""
-    active = [
-        block.keys
-        for block in guard.blocks_by_keys.values()
-        if is_active(block)
-    ]
+    active = [block.keys for block in _list_active(guard)]
     return [
         _store(guard, replace(guard.blocks_by_keys[keys], lifted_s=now_s))
         for keys in active
@@ -303,8 +301,8 @@
             for key in block.keys
             if guard.history.proven_s_by_key.get(key, 0) <= block.crash_s
         )
-        for block in guard.blocks_by_keys.values()
-        if is_active(block) and len(block.keys) > 1
+        for block in _list_active(guard)
+        if len(block.keys) > 1
     ]
     return [
         _add_block(guard, keys, now_s)
--- a/packages/core/src/turmericcrank_core/sse.py
+++ b/packages/core/src/turmericcrank_core/sse.py
@@ -56,7 +56,8 @@
         raw = bytes(buffered[start:stop])
         events.append(StreamEvent(raw, _read_id(raw)))
         start = stop
-    buffered[:start] = b''
+    if start:
+        splitter.buffer = buffered[start:]
     return events
 
 
