Play silent links, slow and half-closed clients, clocks and more in the soak

Before, all nodes of a run had the same clock since the start of the machine, so nothing had ever played the clock that nodes agree on.

--- a/tests/soak/client_connections.py
+++ b/tests/soak/client_connections.py
@@ -1,6 +1,7 @@
 """Sends one request of a client and records how it ended."""
 
 import asyncio
+import socket
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -13,6 +14,7 @@
 _CONNECT_S = 1
 _GAP_S = 8
 _CHUNKED = 'chunked'
+_SMALL_BUFFER_BYTES = 8192
 
 
 @dataclass(slots=True)
@@ -25,6 +27,10 @@
         reader: Its reading side; None before it is open.
         writer: Its writing side.
         n_requests: Requests that it has carried.
+        read_pause_s: Pause after each part that a slow reader reads; 0 for
+            one that is not slow.
+        is_half_closed: Whether its client closes the sending side once it has
+            sent a request.
     """
 
     number: int
@@ -32,6 +38,8 @@
     reader: asyncio.StreamReader | None = None
     writer: asyncio.StreamWriter | None = None
     n_requests: int = 0
+    read_pause_s: float = 0
+    is_half_closed: bool = False
 
     @property
     def is_usable(self) -> bool:
@@ -79,7 +87,9 @@
     except TimeoutError:
         request.ending = Ending.left
     except (OSError, ValueError, EOFError):
-        request.ending = Ending.broken
+        # Nodes take the end of the sending side for a client that has left.
+        is_taken_for_left = connection.is_half_closed and not request.status
+        request.ending = Ending.left if is_taken_for_left else Ending.broken
     if request.ending is Ending.pending:
         return outcome
     request.ended_s = time.monotonic()
@@ -99,7 +109,10 @@
     host, _, port = connection.address.rpartition(':')
     try:
         async with asyncio.timeout(_CONNECT_S):
-            streams = await asyncio.open_connection(host, int(port))
+            if connection.read_pause_s:
+                streams = await _connect_slowly(host, int(port))
+            else:
+                streams = await asyncio.open_connection(host, int(port))
     except (OSError, TimeoutError):
         return False
     connection.reader = streams[0]
@@ -107,6 +120,26 @@
     return True
 
 
+async def _connect_slowly(
+    host: str, port: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect with small buffers, so that a node feels a slow reader."""
+    connecting = socket.socket()
+    connecting.setblocking(False)
+    connecting.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES
+    )
+    try:
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(connecting, (host, port))
+    except BaseException:
+        connecting.close()
+        raise
+    return await asyncio.open_connection(
+        sock=connecting, limit=_SMALL_BUFFER_BYTES
+    )
+
+
 async def _write(
     connection: ClientConnection,
     request: ClientRequest,
@@ -126,6 +159,8 @@
             raise ConnectionResetError
         await asyncio.sleep(0.001)
     request.sent_s = time.monotonic()
+    if connection.is_half_closed:
+        writer.write_eof()
 
 
 async def _read(
@@ -145,11 +180,26 @@
 
 async def _read_body(connection: ClientConnection, response: Message) -> Any:
     length = response.headers.get('content-length')
+    if length is not None and connection.read_pause_s:
+        return await _read_slowly(connection, int(length))
     if length is not None:
         return await connection.reader.readexactly(int(length))
     return await connection.reader.read()
 
 
+async def _read_slowly(connection: ClientConnection, length: int) -> int:
+    n_read = 0
+    while n_read < length:
+        part = await connection.reader.read(
+            min(_SMALL_BUFFER_BYTES, length - n_read)
+        )
+        if not part:
+            raise EOFError
+        n_read += len(part)
+        await asyncio.sleep(connection.read_pause_s)
+    return n_read
+
+
 async def _read_events(connection: ClientConnection, outcome: Outcome) -> None:
     pending = b''
     while True:
@@ -157,6 +207,7 @@
             chunk = await read_chunk(connection.reader)
         if not chunk:
             return
+        await asyncio.sleep(connection.read_pause_s)
         *events, pending = (pending + chunk).split(b'\n\n')
         for event in events:
             for line in event.split(b'\n'):
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -14,6 +14,7 @@
 )
 from tests.soak.record import ClientRequest, Ending, RouteKind
 from tests.soak.scene import (
+    FIRST_LARGE,
     HOST_NAME,
     N_GROUPS,
     CrashCause,
@@ -32,6 +33,8 @@
 _MAX_HASTY_REPEATS = 8
 _REPEAT_PAUSE_S = 0.1
 _LONG_IDLE_SHARE = 0.03
+_SLOW_SHARE = 0.3
+_HALF_CLOSED_SHARE = 0.3
 _STREAMS = frozenset((RouteKind.stream, RouteKind.resumable_stream))
 
 
@@ -47,6 +50,8 @@
         keeps: Whether it keeps its connection for the next request.
         obeys: Whether it leaves an address that is no longer listed.
         is_hasty: Whether it repeats at once.
+        read_pause_s: Pause after each part that it reads, if it reads slowly
+            and asks for large responses; otherwise 0.
         connection: Its open connection.
         failed: Addresses that have failed it.
     """
@@ -58,6 +63,7 @@
     keeps: bool = True
     obeys: bool = False
     is_hasty: bool = False
+    read_pause_s: float = 0
     connection: ClientConnection | None = None
     failed: set[str] = field(default_factory=set)
 
@@ -89,6 +95,8 @@
     client.keeps = rng.random() < 0.85
     client.obeys = rng.random() < 0.2
     client.is_hasty = 'hasty' in scene.options.kinds and rng.random() < 0.3
+    if 'slowread' in scene.options.kinds and rng.random() < _SLOW_SHARE:
+        client.read_pause_s = rng.uniform(0.002, 0.04)
     await asyncio.sleep(rng.uniform(0, scene.options.think_s))
     try:
         while not scene.is_over:
@@ -142,7 +150,7 @@
     deadline_s = route.timeout_s * rng.choice((0.6, 1.2, 1.5))
     return _Intent(
         route=name,
-        path=f'{route.raw["prefix"]}{rng.randrange(1000)}',
+        path=f'{route.raw["prefix"]}{_pick_number(client)}',
         body=body,
         prefix=prefix,
         first_part=part if is_stream else '',
@@ -151,6 +159,12 @@
     )
 
 
+def _pick_number(client: Client) -> int:
+    """Choose what is asked for; slow readers ask for large responses."""
+    number = client.rng.randrange(1000)
+    return number + FIRST_LARGE if client.read_pause_s else number
+
+
 def _make_crash_intent(client: Client, cause: CrashCause) -> _Intent:
     rng = client.rng
     route = client.scene.routes[cause.route]
@@ -298,5 +312,10 @@
     listed = directory.addresses or list(client.scene.node_by_address)
     usable = [one for one in listed if one not in client.failed]
     address = client.rng.choice(usable or listed)
-    client.connection = ClientConnection(next(_connections), address)
+    client.connection = ClientConnection(
+        next(_connections), address, read_pause_s=client.read_pause_s
+    )
+    if 'halfclose' in client.scene.options.kinds and not client.keeps:
+        is_half_closed = client.rng.random() < _HALF_CLOSED_SHARE
+        client.connection.is_half_closed = is_half_closed
     return client.connection
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -4,8 +4,9 @@
 import os
 import subprocess
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from tests.soak.skewed_node import SKEW_NAME
 from tests.soak.stand_ins import ROOT, Deployment
 
 __all__ = ('NodeDeployment',)
@@ -20,7 +21,14 @@
 
 @dataclass(slots=True)
 class NodeDeployment(Deployment):
-    """Nodes that run the sources of this tree."""
+    """Nodes that run the sources of this tree.
+
+    Attributes:
+        skew_s_by_name: How long before the others the machines of nodes have
+            started, in seconds.
+    """
+
+    skew_s_by_name: dict[str, float] = field(default_factory=dict)
 
     def start(self, name: str, *, is_first: bool = False) -> None:
         """Start the process of a node."""
@@ -33,11 +41,15 @@
             if key in os.environ
         }
         environment['PYTHONPATH'] = os.pathsep.join(
-            str(ROOT / source) for source in _SOURCES
+            str(ROOT / source) for source in ('', *_SOURCES)
         )
         environment['PYTHONDONTWRITEBYTECODE'] = '1'
         environment['TURMERICCRANK_BOOT'] = str(settings)
-        command = [sys.executable, '-m', 'turmericcrank_platform']
+        module = 'turmericcrank_platform'
+        if name in self.skew_s_by_name:
+            module = 'tests.soak.skewed_node'
+            environment[SKEW_NAME] = str(self.skew_s_by_name[name])
+        command = [sys.executable, '-m', module]
         with (self.folder / f'{name}.log').open('ab') as log:
             node.process = subprocess.Popen(
                 command,
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -35,6 +35,7 @@
 _LAST_S = 14
 _MEMORY_MB = 150
 _EVENTS = 20
+_MOST_SKEW_S = 2_000_000
 
 
 class NotReadyError(Exception):
@@ -93,6 +94,9 @@
     for number in range(scene.options.n_nodes):
         zone = _ZONES[number % len(_ZONES)]
         node = deployment.add(f'front-{zone}-{number}', zone)
+        if 'clock' in scene.options.kinds:
+            skew_s = scene.start_rng.uniform(0, _MOST_SKEW_S)
+            deployment.skew_s_by_name[node.name] = skew_s
         scene.node_by_address[node.listen['front']] = node.name
         scene.directories.append(node.listen['directory'])
     for name in control.names:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -176,6 +176,7 @@
 
     Attributes:
         paused: It neither reads nor responds; the system still accepts.
+        silent: Links from or to it are silent.
         resumed: It goes on.
         reset: It has reset all of its connections.
         crashed: It has ended; its address refuses connections.
@@ -183,6 +184,7 @@
     """
 
     paused = 'paused'
+    silent = 'silent'
     resumed = 'resumed'
     reset = 'reset'
     crashed = 'crashed'
--- a/tests/soak/scene.py
+++ b/tests/soak/scene.py
@@ -21,6 +21,7 @@
 __all__ = (
     'ALL_KINDS',
     'BOUNDS',
+    'FIRST_LARGE',
     'HOST_NAME',
     'N_GROUPS',
     'CrashCause',
@@ -49,10 +50,18 @@
     'storeaway',
     'storeslow',
     'hasty',
+    'silent',
+    'accept',
+    'slowread',
+    'halfclose',
+    'clock',
+    'termall',
 )
 TroubleKind = str
 BOUNDS = KALENDRA_BOUNDS
 HOST_NAME = HOST
+# Paths that end with such a number, or a higher one, get large responses.
+FIRST_LARGE = 1000
 # Different first parts of prompts.
 N_GROUPS = 12
 _TEAMS = ('hule930', 'mavo114', 'tiru527', 'sebo660')
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -9,7 +9,7 @@
 
 from tests.soak.node_control import NodeControl, restart_node, send_signal
 from tests.soak.record import ConfigurationChange, NodeEventKind
-from tests.soak.upstreams import Upstream, crash, pause, reset
+from tests.soak.upstreams import Upstream, crash, pause, reset, silence
 
 __all__ = ('play_troubles',)
 
@@ -18,6 +18,7 @@
 _TWICE_SHARE = 0.4
 _MOVE_SHARE = 0.4
 _AGAIN_SHARE = 0.2
+_LONGEST_SILENCE_S = 6
 
 
 @dataclass(slots=True)
@@ -69,6 +70,16 @@
         await asyncio.sleep(stage.rng.choice((0, 0.05, 0.6)))
 
 
+async def _restart_all(stage: _Stage) -> None:
+    """Restart all nodes, one after the other or at once."""
+    names = stage.control.present
+    pause_s = stage.rng.choice((0, 0, 0.5))
+    stage.control.leaving.update(names)
+    for name in names:
+        stage.control.scene.start_task(restart_node(stage.control, name))
+        await asyncio.sleep(pause_s)
+
+
 async def _kill_one(stage: _Stage) -> None:
     for name in _pick_nodes(stage, 1):
         await restart_node(stage.control, name, kill=True)
@@ -134,6 +145,26 @@
     )
 
 
+async def _silence_some(stage: _Stage) -> None:
+    """Let links of some upstreams be silent one way, or both."""
+    is_deaf, is_mute = stage.rng.choice(
+        ((True, False), (False, True), (True, True))
+    )
+    seconds = stage.rng.uniform(0.3, _LONGEST_SILENCE_S)
+    await asyncio.gather(
+        *(
+            silence(
+                stage.control.scene,
+                upstream,
+                seconds,
+                is_deaf=is_deaf,
+                is_mute=is_mute,
+            )
+            for upstream in _pick_upstreams(stage)
+        )
+    )
+
+
 async def _reset_some(stage: _Stage) -> None:
     for upstream in _pick_upstreams(stage):
         reset(stage.control.scene, upstream)
@@ -200,11 +231,13 @@
 # By kind of trouble: how it is played, and the mean time between two of them.
 _PLAYS: dict[str, tuple[_Play, float]] = {
     'term': (_restart_some, 6),
+    'termall': (_restart_all, 25),
     'kill': (_kill_one, 12),
     'hup': (_hang_up_some, 4),
     'stop': (_stop_some, 9),
     'config': (_change_configuration, 5),
     'pause': (_pause_some, 4),
+    'silent': (_silence_some, 5),
     'reset': (_reset_some, 4),
     'crash': (_crash_one, 7),
     'storeaway': (_take_store_away, 15),
--- a/tests/soak/upstream_requests.py
+++ b/tests/soak/upstream_requests.py
@@ -4,14 +4,16 @@
 import time
 from dataclasses import dataclass
 
+from tests.soak.links import Link, abort
 from tests.soak.record import Arrival
-from tests.soak.scene import Scene
+from tests.soak.scene import FIRST_LARGE, Scene
 from tests.soak.stand_ins import Message, encode_response, read_head
-from tests.soak.upstreams import Upstream, crash
+from tests.soak.upstreams import Upstream, crash, forget, silence_link
 
 __all__ = ('serve_connection',)
 
 _PLAIN_BODY = b'x' * 800
+_LARGE_COPIES = 500
 
 
 @dataclass(slots=True, frozen=True)
@@ -24,7 +26,7 @@
     node: str
     connected_s: float
     reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
+    link: Link
 
 
 @dataclass(slots=True)
@@ -63,9 +65,14 @@
         node=scene.find_sender(peer, (upstream.host, upstream.port)),
         connected_s=time.monotonic(),
         reader=reader,
-        writer=writer,
+        link=Link(writer),
     )
+    if not upstream.is_up:
+        await _end_at_once(scene, writer)
+        return
     upstream.writers.add(writer)
+    upstream.links.add(connection.link)
+    silence_link(upstream, connection.link)
     if not upstream.running.is_set():
         writer.transport.pause_reading()
     try:
@@ -73,10 +80,16 @@
     except (ConnectionError, asyncio.IncompleteReadError):
         return
     finally:
-        upstream.writers.discard(writer)
+        forget(upstream, connection.link)
         writer.close()
 
 
+async def _end_at_once(scene: Scene, writer: asyncio.StreamWriter) -> None:
+    """End a connection that is accepted in place of a crashed upstream."""
+    await asyncio.sleep(scene.crash_rng.choice((0, 0, 0.2, 2)))
+    writer.transport.abort()
+
+
 async def _serve_requests(connection: _Connection) -> None:
     upstream, reader = connection.upstream, connection.reader
     while True:
@@ -86,7 +99,7 @@
         if request is None or not is_same or not upstream.is_up:
             return
         if not request.headers.get('x-request-id'):
-            _answer_own(upstream, request, connection.writer)
+            _answer_own(upstream, request, connection.link)
             continue
         arrival = _note_arrival(connection, request)
         length = int(request.headers.get('content-length', 0))
@@ -109,15 +122,13 @@
     return arrival
 
 
-def _answer_own(
-    upstream: Upstream, request: Message, writer: asyncio.StreamWriter
-) -> None:
+def _answer_own(upstream: Upstream, request: Message, link: Link) -> None:
     """Answer a health check or a report."""
     if request.start[1] != '/health':
-        writer.write(encode_response(404, {}))
+        link.write(encode_response(404, {}))
         return
     headers = {'X-Instance-Id': upstream.upstream_id}
-    writer.write(encode_response(200, headers, b'{}'))
+    link.write(encode_response(200, headers, b'{}'))
 
 
 async def _work_off(exchange: _Exchange) -> None:
@@ -161,7 +172,7 @@
     if work.done():
         return
     if closed.done():
-        arrival.is_cut = connection.writer in exchange.upstream.writers
+        arrival.is_cut = connection.link.writer in exchange.upstream.writers
         return
     await exchange.upstream.running.wait()
     exchange.is_late = not work.done()
@@ -178,10 +189,10 @@
     if exchange.arrival.began_s == 0:
         _reject(exchange, 503)
     elif exchange.upstream.n_events:
-        exchange.connection.writer.transport.abort()
+        abort(exchange.connection.link)
     else:
         headers = _make_headers(exchange)
-        exchange.connection.writer.write(encode_response(504, headers))
+        exchange.connection.link.write(encode_response(504, headers))
 
 
 def _reject(exchange: _Exchange, status: int) -> None:
@@ -192,7 +203,7 @@
         'X-Not-Executed': '1',
         'X-Instance-Id': exchange.upstream.upstream_id,
     }
-    exchange.connection.writer.write(encode_response(status, headers))
+    exchange.connection.link.write(encode_response(status, headers))
 
 
 async def _run(exchange: _Exchange) -> None:
@@ -209,10 +220,16 @@
         await asyncio.sleep(upstream.work_s)
         await upstream.running.wait()
         headers = _make_headers(exchange)
-        exchange.connection.writer.write(
-            encode_response(200, headers, _PLAIN_BODY)
-        )
-        await exchange.connection.writer.drain()
+        body = _PLAIN_BODY * _count_copies(exchange)
+        exchange.connection.link.write(encode_response(200, headers, body))
+        await exchange.connection.link.drain()
+
+
+def _count_copies(exchange: _Exchange) -> int:
+    """Return by how many times its response is larger than usual."""
+    number = exchange.request.start[1].rpartition('/')[2]
+    is_large = number.isdecimal() and int(number) >= FIRST_LARGE
+    return _LARGE_COPIES if is_large else 1
 
 
 async def _crash_if_meant(exchange: _Exchange) -> bool:
@@ -252,7 +269,7 @@
 
 async def _stream(exchange: _Exchange) -> None:
     """Write the events after the one that the request has."""
-    upstream, writer = exchange.upstream, exchange.connection.writer
+    upstream, link = exchange.upstream, exchange.connection.link
     headers = {
         **_make_headers(exchange),
         'Content-Type': 'text/event-stream',
@@ -265,12 +282,13 @@
     await asyncio.sleep(pause_s)
     await upstream.running.wait()
     head = '\r\n'.join(['HTTP/1.1 200 OK', *lines, '', ''])
-    writer.write(head.encode('latin-1'))
+    link.write(head.encode('latin-1'))
+    text = 't' * 40 * _count_copies(exchange)
     for number in range(first, upstream.n_events + 1):
         await asyncio.sleep(pause_s)
         await upstream.running.wait()
-        event = f'id: {number}\ndata: {"t" * 40}\n\n'.encode()
-        writer.write(b'%x\r\n%s\r\n' % (len(event), event))
-        await writer.drain()
-    writer.write(b'0\r\n\r\n')
-    await writer.drain()
+        event = f'id: {number}\ndata: {text}\n\n'.encode()
+        link.write(b'%x\r\n%s\r\n' % (len(event), event))
+        await link.drain()
+    link.write(b'0\r\n\r\n')
+    await link.drain()
--- a/tests/soak/upstream_spans.py
+++ b/tests/soak/upstream_spans.py
@@ -9,14 +9,18 @@
 
 __all__ = ('broke_off', 'find_unsound_spans', 'was_sound')
 
-_BEGINS = (UpstreamEventKind.paused, UpstreamEventKind.crashed)
+_BEGINS = (
+    UpstreamEventKind.paused,
+    UpstreamEventKind.silent,
+    UpstreamEventKind.crashed,
+)
 _BREAKS = (UpstreamEventKind.reset, UpstreamEventKind.crashed)
 
 
 def find_unsound_spans(
     upstream_events: Iterable[UpstreamEvent],
 ) -> dict[str, list[Span]]:
-    """Find the spans in which each upstream was paused, reset or away."""
+    """Find the spans in which each upstream was harmed or away."""
     spans = defaultdict(list)
     since: dict[str, float] = {}
     for event in sorted(upstream_events, key=lambda one: one.at_s):
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -7,14 +7,18 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from tests.soak.links import Link, hold, release
 from tests.soak.record import UpstreamEvent, UpstreamEventKind
 from tests.soak.scene import Scene
 
 __all__ = (
     'Upstream',
     'crash',
+    'forget',
     'pause',
     'reset',
+    'silence',
+    'silence_link',
     'start_upstream',
 )
 
@@ -50,6 +54,9 @@
         n_present: Requests that run or wait.
         server: Its server.
         writers: Its connections.
+        links: The same, as it writes to them.
+        is_deaf: Whether nothing arrives that nodes send.
+        is_mute: Whether nothing arrives that it sends.
         serve: Serves a connection.
     """
 
@@ -72,6 +79,9 @@
     n_present: int = 0
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    links: set[Link] = field(default_factory=set)
+    is_deaf: bool = False
+    is_mute: bool = False
     serve: Serve | None = None
 
 
@@ -104,7 +114,7 @@
 
 async def pause(scene: Scene, upstream: Upstream, seconds: float) -> None:
     """Neither read nor respond for some time; connections are accepted."""
-    if not upstream.is_up or not upstream.running.is_set():
+    if not _is_whole(upstream):
         return
     process = upstream.process
     upstream.running.clear()
@@ -121,6 +131,42 @@
             writer.transport.resume_reading()
 
 
+async def silence(
+    scene: Scene,
+    upstream: Upstream,
+    seconds: float,
+    *,
+    is_deaf: bool,
+    is_mute: bool,
+) -> None:
+    """Let links be silent for some time, one way or both; it goes on."""
+    if not _is_whole(upstream):
+        return
+    process = upstream.process
+    upstream.is_deaf = is_deaf
+    upstream.is_mute = is_mute
+    _note(scene, upstream, UpstreamEventKind.silent)
+    for link in upstream.links:
+        silence_link(upstream, link)
+    await asyncio.sleep(seconds)
+    if upstream.process != process or not upstream.is_up:
+        return
+    _make_whole(upstream)
+    for link in list(upstream.links):
+        if not link.writer.transport.is_closing():
+            link.writer.transport.resume_reading()
+            release(link)
+    _note(scene, upstream, UpstreamEventKind.resumed)
+
+
+def silence_link(upstream: Upstream, link: Link) -> None:
+    """Make a link silent as the others of its upstream are."""
+    if upstream.is_deaf:
+        link.writer.transport.pause_reading()
+    if upstream.is_mute:
+        hold(link)
+
+
 def reset(scene: Scene, upstream: Upstream) -> None:
     """Reset all connections."""
     if upstream.is_up:
@@ -141,13 +187,19 @@
         return
     upstream.is_up = False
     _note(scene, upstream, UpstreamEventKind.crashed, crash_key)
-    upstream.server.close()
+    server = upstream.server
+    accepts = 'accept' in scene.options.kinds and scene.crash_rng.random() < 0.5
+    if not accepts:
+        server.close()
     _abort_all(upstream, with_reset=False)
     upstream.running.set()
+    _make_whole(upstream)
     scene.start_task(
         _expire(scene, upstream, upstream.process, upstream.upstream_id)
     )
     await asyncio.sleep(away_s)
+    if accepts:
+        server.close()
     await start_upstream(scene, upstream, keeps_id=keeps_id)
 
 
@@ -163,6 +215,24 @@
         scene.store.delete('servers', upstream_id)
 
 
+def forget(upstream: Upstream, link: Link) -> None:
+    """Remove a connection that has ended."""
+    upstream.writers.discard(link.writer)
+    upstream.links.discard(link)
+
+
+def _make_whole(upstream: Upstream) -> None:
+    upstream.is_deaf = False
+    upstream.is_mute = False
+
+
+def _is_whole(upstream: Upstream) -> bool:
+    """Return whether it runs, and its links are not silent."""
+    if not upstream.is_up or not upstream.running.is_set():
+        return False
+    return not upstream.is_deaf and not upstream.is_mute
+
+
 def _abort_all(upstream: Upstream, *, with_reset: bool) -> None:
     aborted = list(upstream.writers)
     upstream.writers.clear()
