Leave a new connection open for a second during a drain

A client, or a host, that is held up between connecting and sending finds it closed. Clients without kept connections open one for each request. Ruled out: connections that wait to be accepted, requests being read, requests at silent upstreams: each logs otherwise. Change: a connection that has carried no request is left open for a second; after a response it stays 0.25 s. A request then gets the 503 of a drain. Figures: new test, a request 0.6 s after connecting during a drain: no response before, 503 after.

--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -25,6 +25,7 @@
     ClientRequest,
     ConnectionHandlers,
     read_request,
+    record_response,
 )
 
 __all__ = ('serve_client_connection',)
@@ -92,7 +93,7 @@
     if not exchange.is_complete:
         connection.stream.socket.close()
         return False
-    connection.idle_since_s = trio.current_time()
+    record_response(connection)
     if connection.pipelined:
         connection.parser.receive_data(bytes(connection.pipelined))
         connection.pipelined.clear()
--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -31,11 +31,14 @@
     'ClientRequest',
     'ConnectionHandlers',
     'read_request',
+    'record_response',
 )
 
 READ_BYTES = 65536
 # Read at a time where what follows may belong to a later request.
 PART_BYTES = 4096
+# Time for the first request of a connection that is opened during a drain.
+_FIRST_REQUEST_S = 1
 # Time for the next request of a client that does not know of a drain.
 _NEXT_REQUEST_S = 0.25
 # The rest of the room is left to small bodies and responses.
@@ -110,6 +113,7 @@
             ``drain`` or ``idle timeout``; empty in any other case.
         idle_since_s: When it was opened, or its last response was sent, on
             trio's clock.
+        drain_wait_s: How long after that a drain leaves it open, in seconds.
     """
 
     stream: trio.SocketStream
@@ -119,6 +123,13 @@
     reserved_bytes: int = 0
     idle_end: str = ''
     idle_since_s: float = field(default_factory=trio.current_time)
+    drain_wait_s: float = _FIRST_REQUEST_S
+
+
+def record_response(connection: ClientConnection) -> None:
+    """Record that a response was sent; the connection is idle from now on."""
+    connection.idle_since_s = trio.current_time()
+    connection.drain_wait_s = _NEXT_REQUEST_S
 
 
 async def read_request(
@@ -335,7 +346,7 @@
 ) -> None:
     """Stop waiting when the node drains, but not at once after a response."""
     await handlers.closing.wait()
-    await trio.sleep_until(connection.idle_since_s + _NEXT_REQUEST_S)
+    await trio.sleep_until(connection.idle_since_s + connection.drain_wait_s)
     scope.cancel()
 
 
--- a/tests/serving/test_drain.py
+++ b/tests/serving/test_drain.py
@@ -130,6 +130,27 @@
     assert (ended['n_requests'], ended['n_reading']) == (0, 0)
 
 
+def test_lost_first_request_of_a_slow_client_during_a_drain():
+    # A new connection was closed 0.25 s after it was opened.
+    heads = []
+
+    async def main():
+        state = make_node_state(make_table(make_route()))
+        with trio.move_on_after(9):
+            async with trio.open_nursery() as nursery:
+                address = await _start_node(nursery, state)
+                os.kill(os.getpid(), signal.SIGTERM)
+                await state.closing.wait()
+                stream = await trio.open_tcp_stream(*address)
+                await trio.sleep(0.6)
+                await stream.send_all(request_bytes('/unknown'))
+                heads.append((await read_until(stream, b'\r\n'))[9:12])
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert heads == [b'503']
+
+
 def test_lost_requests_are_rejected_by_the_time_of_the_signal():
     # A step of the drain that was handled late let requests in.
     heads = []
