--- a/tests/soak/test_judge_budget.py
+++ b/tests/soak/test_judge_budget.py
@@ -147,6 +147,21 @@
     assert not find_time_handed(run, moment).n_counted
 
 
+@pytest.mark.parametrize(
+    ('begin_s', 'end_s', 'is_counted'),
+    [(100.5, 101.9, False), (80, 98, True), (96, 99.5, False)],
+)
+def test_time_over_links_that_were_silent(begin_s, end_s, is_counted):
+    """What comes late over a link that was harmed lately does not count."""
+    run = _make_late_repeats(30, 0)
+    for upstream in {arrival.upstream for arrival in run.arrivals}:
+        run.upstream_events += [
+            make_upstream_event(begin_s, UpstreamEventKind.silent, upstream),
+            make_upstream_event(end_s, UpstreamEventKind.resumed, upstream),
+        ]
+    assert (_TIME in _find_lines(run)) is is_counted
+
+
 def _make_crashing(n_retries: int, at_s: float, *, is_part: bool) -> Run:
     n_crashes = 5 if is_part else 3
     names = [f'r{number}' for number in range(n_retries)]
