Read no more behind a body than its length tells

Cause: a body was read 64 KiB at a time, also its last part, so up to 64 KiB of what follows came with it, before any budget was asked. Ruled out: reserving room for them after they were read; they are there by then, and a refusal would have to close a connection with a sound request. Change: with a declared length at most what is missing is read; a body in chunks, whose end isn't known before, 4 KiB at a time, as heads are. A chunked upload takes more reads; not measured.

--- a/packages/node/src/turmericcrank_node/serving/request_reading.py
+++ b/packages/node/src/turmericcrank_node/serving/request_reading.py
@@ -153,7 +153,7 @@
     """Read a request that has begun; None if it is incomplete."""
     limits = handlers.limits()
     try:
-        head = await _read_event(connection, limits.header_s)
+        head = await _read_event(connection, limits.header_s, PART_BYTES)
         if isinstance(head, h11.Request):
             return await _read_body(handlers, connection, head)
     except h11.RemoteProtocolError as error:
@@ -191,7 +191,9 @@
     if not await _send_continue(connection):
         return None
     body = bytearray()
-    event = await _read_event(connection, limits.idle_s)
+    event = await _read_event(
+        connection, limits.idle_s, _plan_body_read_bytes(request, body)
+    )
     while isinstance(event, h11.Data):
         body += event.data
         if len(body) > limits.body_bytes:
@@ -201,7 +203,9 @@
         if not _reserve(handlers, connection, missing_bytes):
             await _reject_body(handlers, connection, request)
             return None
-        event = await _read_event(connection, limits.idle_s)
+        event = await _read_event(
+            connection, limits.idle_s, _plan_body_read_bytes(request, body)
+        )
     if event is _TIMED_OUT:
         await _reject(connection, HTTPStatus.REQUEST_TIMEOUT)
     if not isinstance(event, h11.EndOfMessage):
@@ -209,6 +213,17 @@
     return replace(request, body=body)
 
 
+def _plan_body_read_bytes(request: ClientRequest, body: bytearray) -> int:
+    """Return how much to read next, so that little beyond the body is read.
+
+    What follows a body belongs to a later request, and is in no budget yet.
+    """
+    text = find_header(request.headers, b'content-length')
+    if not text:
+        return PART_BYTES
+    return max(1, min(READ_BYTES, int(text) - len(body)))
+
+
 def _read_declared_length(request: ClientRequest, limits: ClientLimits) -> int:
     """Return the length of the body, as far as it is allowed and known."""
     text = find_header(request.headers, b'content-length')
@@ -264,27 +279,26 @@
     return True
 
 
-async def _read_event(connection: ClientConnection, timeout_s: float) -> Any:
-    """Read the next protocol event.
+async def _read_event(
+    connection: ClientConnection, timeout_s: float, n_bytes: int
+) -> Any:
+    """Read the next protocol event, at most some bytes at a time.
 
     Returns:
         The event, ``_TIMED_OUT``, ``_NO_ROOM`` if there is none for a head,
         or None if the connection broke.
     """
     with trio.move_on_after(timeout_s):
-        return await _next_event(connection, connection.parser.next_event)
+        return await _next_event(connection, n_bytes)
     return _TIMED_OUT
 
 
-async def _next_event(
-    connection: ClientConnection, read: Callable[[], Any]
-) -> Any:
+async def _next_event(connection: ClientConnection, n_bytes: int) -> Any:
     while True:
-        event = read()
+        event = connection.parser.next_event()
         if event is not h11.NEED_DATA:
             return event
         is_body = connection.parser.their_state is h11.SEND_BODY
-        n_bytes = READ_BYTES if is_body else PART_BYTES
         try:
             received = await connection.stream.receive_some(n_bytes)
         except CONNECTION_ERRORS:
