Keep the state of client connections in a module of its own

It reads; what a connection is, and what it needs of its node, is in connection_state, which routing and the platform's port also use without reading anything. Moved as it was.

--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -15,7 +15,7 @@
 from turmericcrank_core.upstream_registry import ListedUpstream
 
 from turmericcrank_node.http_connection import Headers
-from turmericcrank_node.serving.request_reading import ClientRequest
+from turmericcrank_node.serving.connection_state import ClientRequest
 
 __all__ = (
     'ChangedRow',
--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -20,12 +20,12 @@
 from turmericcrank_node.serving.client_connection import (
     serve_client_connection,
 )
+from turmericcrank_node.serving.connection_state import ConnectionHandlers
 from turmericcrank_node.serving.node_endpoints import (
     handle_address_query,
     handle_health_check,
     handle_metrics_scrape,
 )
-from turmericcrank_node.serving.request_reading import ConnectionHandlers
 from turmericcrank_node.serving.router import handle_request, reject_body
 from turmericcrank_node.serving.socket_waits import cancel_on, has_arrived
 from turmericcrank_node.state.node_state import NodeState
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -18,15 +18,17 @@
     ClientExchange,
     describe_disconnect,
 )
-from turmericcrank_node.serving.request_reading import (
-    PART_BYTES,
-    READ_BYTES,
+from turmericcrank_node.serving.connection_state import (
     ClientConnection,
     ClientRequest,
     ConnectionHandlers,
-    read_request,
     record_response,
 )
+from turmericcrank_node.serving.request_reading import (
+    PART_BYTES,
+    READ_BYTES,
+    read_request,
+)
 
 __all__ = ('serve_client_connection',)
 
--- a/packages/node/src/turmericcrank_node/serving/node_endpoints.py
+++ b/packages/node/src/turmericcrank_node/serving/node_endpoints.py
@@ -10,7 +10,7 @@
 from turmericcrank_core.membership import list_client_addresses
 
 from turmericcrank_node.serving.client_exchange import ClientExchange
-from turmericcrank_node.serving.request_reading import ClientRequest
+from turmericcrank_node.serving.connection_state import ClientRequest
 from turmericcrank_node.state.node_state import (
     NodeState,
     describe_self,
--- a/packages/node/src/turmericcrank_node/serving/router.py
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -17,11 +17,11 @@
 
 from turmericcrank_node.platform_port import DecodedRequest
 from turmericcrank_node.serving.client_exchange import ClientExchange
+from turmericcrank_node.serving.connection_state import ClientRequest
 from turmericcrank_node.serving.in_flight_request import (
     InFlightRequest,
     reject_request,
 )
-from turmericcrank_node.serving.request_reading import ClientRequest
 from turmericcrank_node.serving.stream_call import handle_stream_call
 from turmericcrank_node.serving.unary_call import handle_unary_call
 from turmericcrank_node.state.node_state import NodeState, read_boottime_s
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -13,7 +13,7 @@
     ForwardMetadata,
     MalformedRowError,
 )
-from turmericcrank_node.serving.request_reading import ClientRequest
+from turmericcrank_node.serving.connection_state import ClientRequest
 from turmericcrank_platform.configuration import (
     decode_configuration,
     decode_rollout_order,
--- a/tests/request_builders.py
+++ b/tests/request_builders.py
@@ -4,8 +4,8 @@
 
 from turmericcrank_core.routing import Team
 from turmericcrank_node.platform_port import DecodedRequest
+from turmericcrank_node.serving.connection_state import ClientRequest
 from turmericcrank_node.serving.in_flight_request import InFlightRequest
-from turmericcrank_node.serving.request_reading import ClientRequest
 from turmericcrank_node.upstreams.poison_detection import make_suspect
 from turmericcrank_node.upstreams.upstream_selection import UpstreamRequirements
 
