--- a/tests/soak/test_judge_lost.py
+++ b/tests/soak/test_judge_lost.py
@@ -172,6 +172,15 @@
     )
 
 
+def test_loss_at_hup_at_the_end_of_the_grace():
+    """Work in its last sixth excuses it there as well."""
+    run = _make_grace_end(103.4, 108.5)
+    run.node_events.append(make_node_event(101.5, NodeEventKind.hup))
+    assert not _find_lines(run)
+    run.arrivals[0].ended_s = 107
+    assert _find_lines(run) == [_TERM, _HUP]
+
+
 def _make_change(n_cut: int, n_cut_else: int, **fields) -> Run:
     beside = [_make_broken(f'b{at}', **fields) for at in range(n_cut)]
     beside += [make_request(f'a{at}') for at in range(20 - n_cut)]
