Let the soak reset closed connections and listen on busy ports

Cause of the first: a reset sets SO_LINGER on all connections of an upstream, also on one that has just been closed and whose task has not run yet. Shown alone: a connection aborted by its upstream, then setsockopt: OSError(9, Bad file descriptor), is_closing True. It is left out now. Cause of the second, by reading: an upstream starts again at its port, and the system may have given that port to an outgoing connection meanwhile. It tries for 3 s.

--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -24,6 +24,7 @@
 
 _READ_LIMIT_BYTES = 1 << 20
 _EXPIRY_S = 3.6
+_LISTEN_S = 3
 _LINGER_NOT = struct.pack('ii', 1, 0)
 
 
@@ -98,13 +99,7 @@
     upstream.running.set()
     upstream.places = asyncio.Semaphore(upstream.slots)
     upstream.n_present = 0
-    upstream.server = await asyncio.start_server(
-        upstream.serve,
-        upstream.host,
-        upstream.port,
-        limit=_READ_LIMIT_BYTES,
-        backlog=256,
-    )
+    upstream.server = await _listen(upstream)
     upstream.is_up = True
     _note(scene, upstream, UpstreamEventKind.started)
     while scene.store.is_away:
@@ -112,6 +107,24 @@
     scene.store.put('servers', upstream.upstream_id, _make_entry(upstream))
 
 
+async def _listen(upstream: Upstream) -> asyncio.Server:
+    """Listen; another connection may hold the port as its own for a time."""
+    until_s = time.monotonic() + _LISTEN_S
+    while True:
+        try:
+            return await asyncio.start_server(
+                upstream.serve,
+                upstream.host,
+                upstream.port,
+                limit=_READ_LIMIT_BYTES,
+                backlog=256,
+            )
+        except OSError:
+            if time.monotonic() > until_s:
+                raise
+        await asyncio.sleep(0.05)
+
+
 async def pause(scene: Scene, upstream: Upstream, seconds: float) -> None:
     """Neither read nor respond for some time; connections are accepted."""
     if not _is_whole(upstream):
@@ -237,7 +250,7 @@
     aborted = list(upstream.writers)
     upstream.writers.clear()
     for writer in aborted:
-        if with_reset:
+        if with_reset and not writer.transport.is_closing():
             writer.get_extra_info('socket').setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT
             )
