--- a/tests/membership/test_crashing_parts.py
+++ b/tests/membership/test_crashing_parts.py
@@ -121,6 +121,18 @@
     _play(n_nodes, disturb)
 
 
+def test_budget_a_block_outlasts_a_restart_of_all_nodes():
+    """A part that was blocked crashed upstreams again after the restart."""
+
+    def disturb(simulation):
+        simulation.has_heads = False
+        simulation.run(12)
+        simulation.restart(list(simulation.gossip.nodes))
+        simulation.run(12)
+
+    _play(7, disturb)
+
+
 def test_frozen_nodes_learn_what_crashes_upstreams_when_they_wake():
     def disturb(simulation):
         simulation.freeze(simulation.nodes_but_seed(0.4))
