Count no crash of another service against a part

Cause: a crash without a part speaks for coincidence only if its upstream could have been sent the part. A part is known by its service. Ruled out: pooling a part's crashes at all services; its keys differ, and a node knows only by its own requests which belong together. Change: a node notes the service of an upstream that crashes while it is listed; crashes that are known to be of another service do not count. Where it is not known they count as before. No message changes.

--- a/packages/core/src/turmericcrank_core/crash_evidence.py
+++ b/packages/core/src/turmericcrank_core/crash_evidence.py
@@ -77,6 +77,8 @@
         crashed_s_by_key: Last crash with a fingerprint or part, in seconds.
         proven_s_by_key: Last output of a request with a fingerprint or part
             after a crash with it, in seconds.
+        service_by_upstream_id: Services of upstreams that crashed, where this
+            node knows them.
     """
 
     merge_window_s: float = 2
@@ -85,6 +87,7 @@
     crashes: list[CrashRecord] = field(default_factory=list)
     crashed_s_by_key: dict[str, float] = field(default_factory=dict)
     proven_s_by_key: dict[str, float] = field(default_factory=dict)
+    service_by_upstream_id: dict[str, str] = field(default_factory=dict)
 
 
 def add_crash(history: CrashHistory, record: CrashRecord) -> bool:
@@ -185,6 +188,12 @@
         for key, proven_s in history.proven_s_by_key.items()
         if key in history.crashed_s_by_key
     }
+    crashed_ids = {crash.upstream_id for crash in history.crashes}
+    history.service_by_upstream_id = {
+        upstream_id: service
+        for upstream_id, service in history.service_by_upstream_id.items()
+        if upstream_id in crashed_ids
+    }
 
 
 def _list_keys(crash: CrashRecord) -> frozenset[str]:
--- a/packages/core/src/turmericcrank_core/part_evidence.py
+++ b/packages/core/src/turmericcrank_core/part_evidence.py
@@ -15,6 +15,7 @@
     'PartEvidence',
     'PartGroup',
     'gather_evidence',
+    'is_elsewhere',
     'list_groups',
     'list_own_crashes',
 )
@@ -130,6 +131,22 @@
     ]
 
 
+def is_elsewhere(
+    evidence: PartEvidence, group: PartGroup, crash: CrashRecord
+) -> bool:
+    """Return whether a crash is known to be of a service without the group.
+
+    A part is known by its service, so no other one can be sent it.
+    """
+    service_by_id = evidence.history.service_by_upstream_id
+    service = service_by_id.get(crash.upstream_id)
+    own_ids = (
+        evidence.crashes[index].upstream_id for index in group.crash_indices
+    )
+    own_services = {service_by_id.get(own_id) for own_id in own_ids} - {None}
+    return bool(service and own_services) and service not in own_services
+
+
 def list_own_crashes(
     evidence: PartEvidence, group: PartGroup
 ) -> frozenset[int]:
--- a/packages/core/src/turmericcrank_core/part_judgement.py
+++ b/packages/core/src/turmericcrank_core/part_judgement.py
@@ -31,6 +31,7 @@
     PartEvidence,
     PartGroup,
     gather_evidence,
+    is_elsewhere,
     list_groups,
     list_own_crashes,
 )
@@ -287,16 +288,21 @@
     """Return how many crashes it takes to blame a group.
 
     They are more by the unexplained crashes without it since it was first in
-    one: a sound part may be in as many of them.
+    one: a sound part may be in as many of them. Those of services that are not
+    sent it do not count.
     """
     first_s = min(evidence.crashes[index].at_s for index in group.crash_indices)
+    explained = (
+        group.crash_indices
+        | evidence.new_indices
+        | evidence.known_by_index.keys()
+    )
     unexplained = (
         index
         for index, crash in enumerate(evidence.crashes)
         if crash.at_s > first_s
-        and index not in group.crash_indices
-        and index not in evidence.new_indices
-        and index not in evidence.known_by_index
+        and index not in explained
+        and not is_elsewhere(evidence, group, crash)
     )
     n_unexplained = count_moments(evidence.crashes, unexplained)
     return rule.min_crashes + n_unexplained * rule.coincidence_rate
--- a/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
+++ b/packages/node/src/turmericcrank_node/upstreams/poison_detection.py
@@ -159,7 +159,7 @@
     The reason is how it was noticed, for the log.
     """
     now_s = read_cluster_time_s(state)
-    blocks = report_crash(state.crash_guard, record, now_s)
+    blocks = _report_crash(state, record, now_s)
     if blocks is None:
         return
     state.crash_reports.by_crash[record] = PendingReport()
@@ -198,7 +198,7 @@
         False if it adds nothing to what this node knows.
     """
     now_s = read_cluster_time_s(state)
-    blocks = report_crash(state.crash_guard, record, now_s)
+    blocks = _report_crash(state, record, now_s)
     if blocks is None:
         return False
     if audience is not None:
@@ -275,6 +275,18 @@
     return key.startswith(_PART_PREFIX)
 
 
+def _report_crash(
+    state: NodeState, record: CrashRecord, now_s: float
+) -> list[CrashBlock] | None:
+    """Record a crash, and the service of its upstream while that is listed."""
+    guard = state.crash_guard
+    upstream = state.upstream_registry.by_id.get(record.upstream_id)
+    if upstream is not None:
+        service_by_id = guard.history.service_by_upstream_id
+        service_by_id[record.upstream_id] = upstream.service
+    return report_crash(guard, record, now_s)
+
+
 def _report_answers(
     state: NodeState, record: CrashRecord, now_s: float
 ) -> None:
