Keep blocks in the store, so that they outlast a restart of all nodes

Cause: state that only the nodes hold, where any number of them may go at once. Change: the node that reads the store for all keeps the active blocks in a table of ours. It reads them when it becomes the reader and reports them like any other block; it writes those that have lasted a second, their tests and their ends, in one call when something has changed. No field of a message changes. Nodes of older builds ignore the table. The own interface (turmericcrankd) has the same gap; open.

--- a/packages/node/src/turmericcrank_node/platform_port.py
+++ b/packages/node/src/turmericcrank_node/platform_port.py
@@ -5,11 +5,12 @@
 decisions are made by the router, none by an adapter.
 """
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from expression import Result
 from turmericcrank_core.constraints import FieldError
+from turmericcrank_core.crash_block import CrashBlock
 from turmericcrank_core.rollout_phases import RolloutOrder, RolloutPhase
 from turmericcrank_core.routing import RouteTable
 from turmericcrank_core.upstream_registry import ListedUpstream
@@ -287,6 +288,9 @@
             that was read; returns the new version.
         write_node: Registers this node by its id and peer address.
         read_nodes: Reads the peer addresses of all nodes, by node id.
+        write_blocks: Writes active blocks, and removes those with some keys.
+            Their times are on the store's clock, in seconds.
+        read_blocks: Reads the blocks.
     """
 
     read_table: Callable[[str], Awaitable['FeedPage | StoreUnavailable']]
@@ -302,6 +306,13 @@
     ]
     write_node: Callable[[str, str], Awaitable['StoreUnavailable | None']]
     read_nodes: Callable[[], Awaitable['Mapping[str, str] | StoreUnavailable']]
+    write_blocks: Callable[
+        [Sequence[CrashBlock], Sequence[frozenset[str]]],
+        Awaitable['StoreUnavailable | None'],
+    ]
+    read_blocks: Callable[
+        [], Awaitable['tuple[CrashBlock, ...] | StoreUnavailable']
+    ]
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/node/src/turmericcrank_node/router_node.py
+++ b/packages/node/src/turmericcrank_node/router_node.py
@@ -32,6 +32,7 @@
 from turmericcrank_node.state.router_metrics import make_metrics
 from turmericcrank_node.state.table_watch import serve_table_watch
 from turmericcrank_node.tunnel.tunnel_server import serve_tunnels
+from turmericcrank_node.upstreams.block_storage import serve_block_storage
 from turmericcrank_node.upstreams.upstream_access import serve_path_probes
 
 __all__ = ('make_state', 'run_router_node')
@@ -84,6 +85,7 @@
             serve_path_probes,
             serve_tunnels,
             run_rollout_control,
+            serve_block_storage,
             _watch_settings,
         ):
             nursery.start_soon(task, state)
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -17,6 +17,10 @@
     record_attempt_result,
     start_attempt,
 )
+from turmericcrank_node.upstreams.block_storage import (
+    BlockStorage,
+    keep_blocks,
+)
 from turmericcrank_node.upstreams.crash_block_checks import (
     take_test,
 )
@@ -29,7 +33,7 @@
 from tests.gossip_simulation import GossipSimulation, make_node
 from tests.request_builders import make_in_flight
 from tests.router_builders import make_upstream
-from tests.router_fakes import list_upstreams
+from tests.router_fakes import FakeRows, list_upstreams, make_fake_platform
 from tests.virtual_clock import CLOCK
 
 START_S = 5000.0
@@ -46,6 +50,8 @@
 _MAX_TRIES = 8
 _UPTIME_S = 100000
 _SUBJECTS = 12
+# A node keeps blocks in the store once it has run for this time.
+_STORAGE_STARTS_S = 1.5
 
 
 @dataclass(eq=False, repr=False)
@@ -105,6 +111,9 @@
         requests: All requests of clients.
         arrivals: Requests that reached an upstream.
         crashes: Time, upstream and part of each crash by a request.
+        rows: Tables of the store.
+        storages_by_node: What each process knows of the stored blocks, and
+            since when it runs.
     """
 
     gossip: GossipSimulation
@@ -120,6 +129,8 @@
     arrivals: list = field(default_factory=list)
     crashes: list = field(default_factory=list)
     attempts_by_upstream: dict = field(default_factory=dict)
+    rows: FakeRows = field(default_factory=FakeRows)
+    storages_by_node: dict = field(default_factory=dict)
     _down_until_s: dict = field(default_factory=dict)
     _events: list = field(default_factory=list)
     _numbers: object = field(default_factory=itertools.count)
@@ -132,6 +143,7 @@
         ends_s = self.now_s + duration_s
         while self.now_s < ends_s:
             self.gossip.run_step()
+            self._keep_blocks()
             self._run_events()
             self._send_requests()
 
@@ -190,8 +202,18 @@
         self._start_attempt(request)
         return request
 
+    def _keep_blocks(self):
+        """Let each node that has run for a while keep blocks in the store."""
+        for node in self.gossip.nodes:
+            storage, since_s = self.storages_by_node.setdefault(
+                id(node), (BlockStorage(), self.now_s)
+            )
+            if self.now_s - since_s >= _STORAGE_STARTS_S:
+                _run_at_once(keep_blocks(node.state, storage))
+
     def _start(self, node):
         list_upstreams(node.state, *self.upstreams)
+        node.state.platform = make_fake_platform(self.rows)
         self.gossip.add(node)
         self.gossip.join(node)
 
@@ -334,6 +356,15 @@
         return self.upstreams[int(upstream_id.removeprefix('u'))]
 
 
+def _run_at_once(work):
+    """Run a coroutine that waits for nothing."""
+    try:
+        work.send(None)
+    except StopIteration:
+        return
+    raise AssertionError('it waits')
+
+
 def start_crash_simulation(
     n_by_data_centre, n_upstreams, requests_per_s, seed=7
 ):
@@ -353,9 +384,12 @@
         list_upstreams(node.state, *rows)
         gossip.join(node)
     gossip.run(_SETTLE_S)
-    return CrashSimulation(
+    simulation = CrashSimulation(
         gossip, rows, requests_per_s, rng=random.Random(seed)
     )
+    for node in gossip.nodes:
+        node.state.platform = make_fake_platform(simulation.rows)
+    return simulation
 
 
 def count_late_arrivals(simulation, part, contact_s, n_crashes=5):
--- a/tests/membership/test_crashing_parts.py
+++ b/tests/membership/test_crashing_parts.py
@@ -127,6 +127,7 @@
     def disturb(simulation):
         simulation.has_heads = False
         simulation.run(12)
+        assert simulation.rows.blocks
         simulation.restart(list(simulation.gossip.nodes))
         simulation.run(12)
 
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -6,6 +6,7 @@
 import orjson
 import pytest
 import trio
+from turmericcrank_core.crash_block import CrashBlock
 from turmericcrank_core.rollout_phases import RolloutOrder, RolloutPhase
 from turmericcrank_node.platform_port import (
     ChangedRow,
@@ -15,6 +16,7 @@
     RolloutRow,
     StoreUnavailable,
 )
+from turmericcrank_platform.block_rows import encode_blocks
 from turmericcrank_platform.show import show_site
 
 from tests.scripted_store import (
@@ -190,3 +192,30 @@
         ),
     )
     assert peer_addresses == {'n1': '10.0.0.1:1'}
+
+
+def test_stored_blocks_are_read_as_they_were_written():
+    """Malformed rows are ignored."""
+    block = CrashBlock(frozenset(('p1', 'p2')), 10.5, 9.25, 2, 12.0)
+    written = encode_blocks([block], [frozenset(('p3',))])
+    stored = orjson.loads(base64.b64decode(written['puts'][0]['value']))
+    blocks, _ = call_scripted_store(
+        lambda store: store.read_blocks(),
+        (
+            200,
+            make_row_page(
+                make_stored_row('b1', 3, stored),
+                make_stored_row('b2', 4, {'keys': 7}),
+                make_stored_row('b3', 5, {**stored, 'keys': []}),
+            ),
+        ),
+    )
+    assert blocks == (block,)
+    assert written['delete'][0]['key'] != written['puts'][0]['key']
+
+
+def test_blocks_are_not_written_while_the_store_is_unavailable():
+    outcome, _ = call_scripted_store(
+        lambda store: store.write_blocks([], []), (503, {})
+    )
+    assert isinstance(outcome, StoreUnavailable)
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -46,6 +46,7 @@
     version: int = 1
     rollouts: dict = field(default_factory=dict)
     members: dict = field(default_factory=dict)
+    blocks: dict = field(default_factory=dict)
     pages: list = field(default_factory=list)
     is_down: bool = False
 
@@ -101,9 +102,27 @@
         write_rollout,
         write_node,
         read_nodes,
+        *_make_block_calls(rows),
     )
 
 
+def _make_block_calls(rows):
+    async def write_blocks(blocks, ended):
+        if rows.is_down:
+            return StoreUnavailable('down')
+        rows.blocks.update((block.keys, block) for block in blocks)
+        for keys in ended:
+            rows.blocks.pop(keys, None)
+        return None
+
+    async def read_blocks():
+        if rows.is_down:
+            return StoreUnavailable('down')
+        return tuple(rows.blocks.values())
+
+    return write_blocks, read_blocks
+
+
 def make_fake_platform(rows=None):
     """Create a platform with short header names such as ``id`` and ``key``."""
     return Platform(
