List that crashes of a part do not count at the service its route moves to

Trace (events 614 and 621): the part crashes four upstreams of one service by 14.9 s, its route moves at 14.9 s, it crashes three of the other one by 16.1 s, and two more at 19.2 and 19.9 s; blocked at 20.4 to 22.4 s. Neither service alone had five before. A way to weigh first: a node that gets a request with a part that was never answered at either service counts the crashes at the other one, too. Test: test_budget_crashes_of_a_part_count_at_each_service_of_its_route, seen failing.

--- a/tests/membership/test_crashing_parts.py
+++ b/tests/membership/test_crashing_parts.py
@@ -5,18 +5,24 @@
 import pytest
 import trio
 from turmericcrank_core.crash_block import CrashBlock, is_active
+from turmericcrank_core.crash_evidence import CrashRecord
 from turmericcrank_node.membership.crash_fields import make_crash_fields
 from turmericcrank_node.state.crash_reports import Audience
-from turmericcrank_node.upstreams.poison_detection import make_suspect
-
-from tests.crash_simulation import (
-    START_S,
-    count_late_arrivals,
-    share_begun_at_first,
-    start_crash_simulation,
+from turmericcrank_node.state.node_state import read_cluster_time_s
+from turmericcrank_node.upstreams.crash_block_checks import (
+    block_moved_parts,
+    is_blocked,
+)
+from turmericcrank_node.upstreams.crash_detection import judge_crashes
+from turmericcrank_node.upstreams.poison_detection import (
+    make_suspect,
+    merge_crash_report,
 )
-from tests.router_builders import make_route, make_table
-from tests.router_fakes import make_node_state
+
+from tests.crash_records import count_late_arrivals, share_begun_at_first
+from tests.crash_simulation import START_S, start_crash_simulation
+from tests.router_builders import make_route, make_table, make_upstream
+from tests.router_fakes import list_upstreams, make_node_state
 from tests.virtual_clock import use_virtual_clock
 
 _PART = 'crashing'
@@ -240,6 +246,25 @@
     _run_in_simulation(act)
 
 
+def test_budget_crashes_of_a_part_count_at_each_service_of_its_route():
+    """A route moved after four crashes, and five more followed."""
+    state = make_node_state(make_table(make_route()))
+    list_upstreams(
+        state, make_upstream('u1', 'engine'), make_upstream('u2', 'other')
+    )
+    now_s = read_cluster_time_s(state)
+    for number in range(5):
+        service = 'other' if number == 4 else 'engine'
+        suspect = make_suspect(service, f'{number}', [_PART])
+        block_moved_parts(state, service, [_PART])
+        record = CrashRecord(
+            f'{service}-{number}', now_s - 10 + number, frozenset((suspect,))
+        )
+        merge_crash_report(state, record, 'n2', None)
+    judge_crashes(state)
+    assert is_blocked(state, make_suspect('other', '', [_PART]))
+
+
 def test_budget_new_nodes_hear_soon_of_a_blocked_part_among_many_requests():
     """Nodes that had just started sent a part that was blocked elsewhere."""
     state = make_node_state(make_table(make_route()))
