--- a/packages/core/src/turmericcrank_core/crash_blocks.py
+++ b/packages/core/src/turmericcrank_core/crash_blocks.py
@@ -197,7 +197,8 @@
         if not block.keys <= own_by_other.keys():
             continue
         keys = frozenset(own_by_other[key] for key in block.keys) - answered
-        if keys and keys not in guard.blocks_by_keys:
+        is_full = len(guard.blocks_by_keys) >= _MAX_BLOCKS
+        if keys and keys not in guard.blocks_by_keys and not is_full:
             begun = CrashBlock(keys, now_s, block.crash_s)
             extended.append(_store(guard, begun))
     return extended
@@ -213,7 +214,8 @@
         before, or a test was sent.
     """
     known = guard.blocks_by_keys.get(reported.keys)
-    if known is None and len(guard.blocks_by_keys) >= _MAX_BLOCKS:
+    is_full = len(guard.blocks_by_keys) >= _MAX_BLOCKS
+    if not reported.keys or (known is None and is_full):
         return False
     merged = reported if known is None else merge_reports(known, reported)
     answered_s_by_key = guard.breaks.answered_s_by_key
--- a/tests/core/test_crash_blocks.py
+++ b/tests/core/test_crash_blocks.py
@@ -13,6 +13,7 @@
 from turmericcrank_core.crash_blocks import (
     CrashGuard,
     expire_blocks,
+    extend_blocks,
     find_block,
     judge_parts,
     merge_block,
@@ -200,3 +201,20 @@
         judge_parts(guard, at_s + 0.5)
     assert find_block(guard, Suspect('again'))
     assert find_block(guard, Suspect('other', frozenset(('bad',))))
+
+
+def test_a_report_of_a_block_without_keys_is_ignored():
+    """It raised an error, and would have stopped all requests."""
+    guard = CrashGuard()
+    assert not merge_block(guard, CrashBlock(frozenset(), 10, 9))
+    assert find_block(guard, Suspect('r')) is None
+
+
+def test_blocks_at_other_services_keep_to_the_number_of_blocks():
+    guard = CrashGuard()
+    own_by_other = {f'p{number}': f'q{number}' for number in range(300)}
+    for other in own_by_other:
+        merge_block(guard, CrashBlock(frozenset((other,)), 10, 9))
+    n_blocks = len(guard.blocks_by_keys)
+    assert not extend_blocks(guard, own_by_other, 11)
+    assert len(guard.blocks_by_keys) == n_blocks
