Revert "Count crashes of a part also at the service to which its route moves"

Cause: the added key has the same carriers as the one it was added for, so is_superseded takes the block at the other service for a narrower explanation of these crashes, and ends this one. A next try has to let the judgement know which keys are of one part.

--- a/packages/core/src/turmericcrank_core/crash_blocks.py
+++ b/packages/core/src/turmericcrank_core/crash_blocks.py
@@ -28,7 +28,6 @@
     CrashRecord,
     Suspect,
     add_crash,
-    extend_parts,
     record_proof,
 )
 from turmericcrank_core.part_judgement import (
@@ -43,7 +42,6 @@
     'SuspectOutput',
     'expire_blocks',
     'extend_blocks',
-    'extend_crashes',
     'find_block',
     'judge_parts',
     'merge_block',
@@ -206,35 +204,6 @@
     return extended
 
 
-def extend_crashes(guard: CrashGuard, own_by_other: Mapping[str, str]) -> None:
-    """Count crashes of parts at other services also against them at this one.
-
-    A part that is not blamed yet when its route moves would need as many
-    crashes again. Parts that were answered at either service are left out.
-
-    Args:
-        guard: Changed in place.
-        own_by_other: Keys of parts at the service, by those at the others.
-    """
-    answered = _list_answered(guard)
-    crashed = guard.history.crashed_s_by_key.keys()
-    own_by_crashed = {
-        other: own_by_other[other]
-        for other in own_by_other.keys() & crashed - answered
-        if own_by_other[other] not in answered
-    }
-    if not own_by_crashed:
-        return
-    for crash in list(guard.history.crashes):
-        suspects = frozenset(
-            extend_parts(suspect, own_by_crashed)
-            for suspect in crash.suspects
-            if not suspect.parts.isdisjoint(own_by_crashed)
-        )
-        if add_crash(guard.history, replace(crash, suspects=suspects)):
-            guard.is_judgement_due = True
-
-
 def merge_block(guard: CrashGuard, reported: CrashBlock) -> bool:
     """Merge a block that another node reports.
 
--- a/packages/core/src/turmericcrank_core/crash_evidence.py
+++ b/packages/core/src/turmericcrank_core/crash_evidence.py
@@ -12,8 +12,8 @@
 """
 
 import math
-from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
 
 __all__ = (
     'CrashHistory',
@@ -21,7 +21,6 @@
     'Suspect',
     'add_crash',
     'count_crashes',
-    'extend_parts',
     'is_open',
     'is_suspect',
     'is_suspect_since',
@@ -115,19 +114,6 @@
     return True
 
 
-def extend_parts(suspect: Suspect, own_by_other: Mapping[str, str]) -> Suspect:
-    """Return a suspect that also carries its parts by other keys of them.
-
-    Args:
-        suspect: A request at a crash.
-        own_by_other: Further keys of parts, by those that it may carry.
-    """
-    own = frozenset(
-        own_by_other[key] for key in suspect.parts if key in own_by_other
-    )
-    return replace(suspect, parts=suspect.parts | own)
-
-
 def record_proof(
     history: CrashHistory, keys: Iterable[str], at_s: float
 ) -> list[str]:
--- a/packages/node/src/turmericcrank_node/serving/router.py
+++ b/packages/node/src/turmericcrank_node/serving/router.py
@@ -26,8 +26,8 @@
 from turmericcrank_node.serving.unary_call import handle_unary_call
 from turmericcrank_node.state.node_state import NodeState, read_boottime_s
 from turmericcrank_node.upstreams.crash_block_checks import (
+    block_moved_parts,
     find_blocked_part,
-    follow_moved_parts,
     is_blocked,
     plan_block_wait_s,
     take_test,
@@ -239,7 +239,7 @@
         parts=list(call.shared_parts),
         session_version=in_flight.requirements.session_version,
     )
-    follow_moved_parts(state, in_flight.requirements.service, call.shared_parts)
+    block_moved_parts(state, in_flight.requirements.service, call.shared_parts)
     if is_blocked(state, in_flight.suspect):
         in_flight.is_test = take_test(state, in_flight.suspect)
         if not in_flight.is_test:
--- a/packages/node/src/turmericcrank_node/upstreams/crash_block_checks.py
+++ b/packages/node/src/turmericcrank_node/upstreams/crash_block_checks.py
@@ -3,13 +3,13 @@
 from collections.abc import Collection, Iterable
 
 from turmericcrank_core.crash_block import (
+    is_active,
     is_test_due,
     name_test_turn,
     next_test_s,
 )
 from turmericcrank_core.crash_blocks import (
     extend_blocks,
-    extend_crashes,
     find_block,
     start_test,
 )
@@ -22,11 +22,12 @@
 from turmericcrank_node.state.node_state import NodeState, read_cluster_time_s
 from turmericcrank_node.upstreams.poison_detection import (
     announce_blocks,
+    is_part_key,
     make_part_key,
 )
 
 __all__ = (
-    'follow_moved_parts',
+    'block_moved_parts',
     'find_blocked_part',
     'is_blocked',
     'plan_block_wait_s',
@@ -39,13 +40,10 @@
     return find_block(state.crash_guard, suspect) is not None
 
 
-def follow_moved_parts(
+def block_moved_parts(
     state: NodeState, service: str, parts: Collection[str]
 ) -> None:
-    """Apply what crashes upstreams of another service to parts of a request.
-
-    Blocks of such parts begin at its service as well, and crashes of parts
-    that are not blamed yet count there.
+    """Block parts of a request that crash upstreams of another service.
 
     Args:
         state: The node.
@@ -58,7 +56,7 @@
         key not in guard.breaks.answered_s_by_key
         for key in own_by_part.values()
     )
-    if not has_news or not (guard.history.crashes or guard.blocks_by_keys):
+    if not has_news or not _has_blocked_parts(state):
         return
     listed = state.upstream_registry.by_id.values()
     others = {upstream.service for upstream in listed} - {service}
@@ -67,7 +65,6 @@
         for other in others
         for part, own in own_by_part.items()
     }
-    extend_crashes(guard, own_by_other)
     blocks = extend_blocks(guard, own_by_other, read_cluster_time_s(state))
     announce_blocks(state, blocks, 'service', Audience.everyone)
 
@@ -109,3 +106,10 @@
     tested = start_test(state.crash_guard, block, now_s)
     announce_blocks(state, [tested], 'test', Audience.everyone)
     return True
+
+
+def _has_blocked_parts(state: NodeState) -> bool:
+    return any(
+        is_active(block) and all(map(is_part_key, block.keys))
+        for block in state.crash_guard.blocks_by_keys.values()
+    )
--- a/tests/membership/test_crashing_parts.py
+++ b/tests/membership/test_crashing_parts.py
@@ -10,7 +10,7 @@
 from turmericcrank_node.state.crash_reports import Audience
 from turmericcrank_node.state.node_state import read_cluster_time_s
 from turmericcrank_node.upstreams.crash_block_checks import (
-    follow_moved_parts,
+    block_moved_parts,
     is_blocked,
 )
 from turmericcrank_node.upstreams.crash_detection import judge_crashes
@@ -256,7 +256,7 @@
     for number in range(5):
         service = 'other' if number == 4 else 'engine'
         suspect = make_suspect(service, f'{number}', [_PART])
-        follow_moved_parts(state, service, [_PART])
+        block_moved_parts(state, service, [_PART])
         record = CrashRecord(
             f'{service}-{number}', now_s - 10 + number, frozenset((suspect,))
         )
