--- a/review/standins_2/nodes.py
+++ b/review/standins_2/nodes.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -101,6 +102,8 @@
 
     def add(self, base: str) -> Node:
         """Add a node, without starting it."""
+        # A script that is ended still ends its nodes.
+        signal.signal(signal.SIGTERM, _exit)
         number = len(self.nodes) + 1
         host = f'{base}.{number}'
         ports = {
@@ -200,6 +203,10 @@
         }
 
 
+def _exit(number: int, frame: object) -> None:
+    sys.exit(2)
+
+
 async def _is_ready(node: Node) -> bool:
     try:
         reader, writer = await asyncio.open_connection(
--- a/review/standins_2/upstream.py
+++ b/review/standins_2/upstream.py
@@ -128,7 +128,11 @@
         try:
             while await self._serve_request(reader, writer):
                 continue
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
             return
         finally:
             self.writers.discard(writer)
