Believe the end of a body only if its connection was not reset (MIXED)

What callers saw: an upstream answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection. The client got the part as a complete answer, and a stream got its end.

Cause: Linux reports a reset to a socket once. send_request (direct calls, streams, the store's calls) and _try_send (the far end of a tunnel) ignore a failed write, as an upstream may respond without reading on. The read after it then returned no bytes, as after an orderly close, and the end of the connection ends a body without a length. The far end of a tunnel announced that end to the other node as an orderly one.

Evidence: test_mixed_* in tests/serving/test_reset_uploads.py, a stand-in that sends a part and resets in the same moment, 900 kB of upload.

Change: connect_upstream, from which all these connections come, returns a CheckedStream. Where a read finds the end, it asks the kernel for the state of the connection: CLOSE_WAIT after an orderly end, CLOSE after a reset or a timeout, whichever call got the report. A record of failed writes would not do: trio lets other tasks run between a failed write and its exception, so the reader may see the end first.

Ruled out: looking at the size of the upload, the status or the kind of call, which leaves the class open. An upstream that closes in order and then resets before the end was read counts as reset: a server closes in stages (RFC 9112, 9.6), and one that crashes looks the same.

--- a/packages/node/src/turmericcrank_node/http_connection.py
+++ b/packages/node/src/turmericcrank_node/http_connection.py
@@ -19,6 +19,8 @@
     release_hold,
 )
 
+from turmericcrank_node.connection_end import CheckedStream
+
 __all__ = (
     'CLIENT_KEEPALIVE',
     'CONNECTION_ERRORS',
@@ -202,7 +204,7 @@
         sock.close()
         return ConnectFault.timed_out
     set_socket_options(sock, UPSTREAM_KEEPALIVE)
-    return UpstreamConnection(trio.SocketStream(sock))
+    return UpstreamConnection(CheckedStream(trio.SocketStream(sock)))
 
 
 def encode_request(
@@ -225,7 +227,12 @@
 async def send_request(
     connection: UpstreamConnection, parts: list[bytes | bytearray]
 ) -> None:
-    """Send an encoded request; reading tells if the connection broke."""
+    """Send an encoded request.
+
+    An upstream may respond without reading the request to its end, so a failed
+    write is no fault by itself. Reading tells if the connection broke, see
+    ``CheckedStream``.
+    """
     try:
         for part in filter(None, parts):
             await connection.stream.send_all(part)
--- a/packages/node/src/turmericcrank_node/tunnel/tunnel_server.py
+++ b/packages/node/src/turmericcrank_node/tunnel/tunnel_server.py
@@ -165,7 +165,10 @@
 
 
 async def _try_send(upstream: ByteStream, raw: bytes) -> bool:
-    """Send bytes; return whether the connection accepts more."""
+    """Send bytes; return whether the connection accepts more.
+
+    Reading tells why it does not, see ``CheckedStream``.
+    """
     try:
         await upstream.send_all(raw)
     except CONNECTION_ERRORS:
--- a/packages/node/src/turmericcrank_node/tunnel/tunnel_stream.py
+++ b/packages/node/src/turmericcrank_node/tunnel/tunnel_stream.py
@@ -13,6 +13,8 @@
 import msgspec
 import trio
 
+from turmericcrank_node.http_connection import ByteStream
+
 __all__ = (
     'TunnelRequest',
     'TunnelStatus',
@@ -95,7 +97,7 @@
         return None
 
 
-async def read_status(stream: trio.SocketStream) -> TunnelStatus | None:
+async def read_status(stream: ByteStream) -> TunnelStatus | None:
     """Read the reply to a request; None if there is no valid one."""
     raw = await _read_exactly(stream, 1)
     try:
@@ -104,9 +106,7 @@
         return None
 
 
-async def _read_exactly(
-    stream: trio.SocketStream, n_bytes: int
-) -> bytes | None:
+async def _read_exactly(stream: ByteStream, n_bytes: int) -> bytes | None:
     """Read a number of bytes; None if the connection ends before."""
     received = b''
     while len(received) < n_bytes:
@@ -130,7 +130,7 @@
         is_ended: Whether the upstream has closed its connection.
     """
 
-    stream: trio.SocketStream
+    stream: ByteStream
     buffer: bytes = b''
     is_ended: bool = False
 
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -9,6 +9,13 @@
 _QUEUE_LENGTH = 3
 
 
+@dataclass(frozen=True)
+class SendAndReset:
+    """Step that sends bytes and resets the connection at the same moment."""
+
+    raw: bytes
+
+
 @dataclass
 class FakeUpstream:
     """An upstream that runs one script for each connection.
@@ -18,6 +25,8 @@
     - bytes to send, in which ``{id}`` is replaced by the id of the request;
     - a float: seconds to wait;
     - 'reset': reset the connection;
+    - ``SendAndReset``: the bytes arrive together with the reset;
+    - 'end': close the sending side in order, and read on;
     - 'refuse': refuse further connections;
     - 'hang': let further connections hang, as if the host were unreachable.
 
@@ -25,6 +34,7 @@
 
     Attributes:
         scripts: Scripts that have not run yet.
+        reads_bodies: Whether it reads more than the head of a request.
         requests: Heads of the received requests, by lower-case header name.
         closed_s: Times at which clients closed a connection during a script.
         address: Listening address.
@@ -34,6 +44,7 @@
     """
 
     scripts: list
+    reads_bodies: bool = True
     requests: list = field(default_factory=list)
     closed_s: list = field(default_factory=list)
     address: str = ''
@@ -80,8 +91,11 @@
         self.requests.append(_read_head(head))
         script = self.scripts.pop(0) if self.scripts else ['close']
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._record_disconnect, stream)
-            await self._run_script(stream, script, self.requests[-1]['id'])
+            if self.reads_bodies:
+                nursery.start_soon(self._record_disconnect, stream)
+            await self._run_script(
+                stream, script, self.requests[-1].get('id', '')
+            )
             nursery.cancel_scope.cancel()
 
     async def _record_disconnect(self, stream):
@@ -99,10 +113,14 @@
         for step in script:
             if isinstance(step, float):
                 await trio.sleep(step)
+            elif isinstance(step, SendAndReset):
+                _send_and_reset(stream, _fill_in(step.raw, request_id))
             elif isinstance(step, bytes):
-                raw = step.replace(b'{id}', request_id.encode())
+                raw = _fill_in(step, request_id)
                 with contextlib.suppress(trio.BrokenResourceError):
                     await stream.send_all(raw)
+            elif step == 'end':
+                await stream.send_eof()
             else:
                 self._run_action(stream, step)
         await stream.aclose()
@@ -113,17 +131,28 @@
         elif step == 'hang':
             self.stop_accepting()
         elif step == 'reset':
-            stream.setsockopt(
-                trio.socket.SOL_SOCKET,
-                trio.socket.SO_LINGER,
-                b'\1\0\0\0\0\0\0\0',
-            )
-            stream.socket.close()
+            _reset(stream)
+
+
+def _send_and_reset(stream, raw):
+    """Send and reset without letting other tasks run in between."""
+    with _copy_socket(stream.socket) as sending:
+        sending.send(raw)
+        _reset(stream)
+
+
+def _reset(stream):
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0')
+    stream.socket.close()
+
+
+def _fill_in(raw, request_id):
+    return raw.replace(b'{id}', request_id.encode())
 
 
-def _copy_socket(listening):
-    """Duplicate a socket, to keep its port after trio closes the listener."""
-    return socket.socket(fileno=listening.dup().detach())
+def _copy_socket(trio_socket):
+    """Duplicate a socket, to use it without trio or after trio closes it."""
+    return socket.socket(fileno=trio_socket.dup().detach())
 
 
 def _read_head(head):
