Keep a reset from ending a body on the own interface as well (MIXED)

What callers saw: a service answered a long upload at once with a 200 without a length, sent a part and reset the connection. The client of the own interface got the part with 200. For a call that must not run twice the part was stored as its answer, and a repeat with the same key got it again.

Cause: httpcore, under httpx, ignores a failed write and reads on. On trio the read after a write that got the report of the reset sees a plain end.

Evidence: tests/site/test_mixed_services.py, a real node before a stand-in that sends a part and resets in the same moment (900 kB of upload). Before, the two calls with one key were answered 200, 200 (not idempotent) and 200, 503 (idempotent: the upstream was gone by then); now 503, 503 without the part. The four cases of sound answers held before and hold: early and whole by length or chunks although a reset follows, without a length and closed in order, early or not.

Change: CheckedTransport, a transport of httpx on the pool of httpcore with a network backend that wraps that of trio. Both are documented interfaces, nothing is patched. The streams ask the kernel how the connection ended, by the same function as the connections of the platform. All clients of a node use it: upstreams, calls that are made once, the store.

The limits of the pools are as before; those of the store's pool are now written out, as they were the library's defaults.

--- a/packages/node/src/turmericcrank_node/node.py
+++ b/packages/node/src/turmericcrank_node/node.py
@@ -28,6 +28,7 @@
 from turmericcrank_node.control.evidence_replication import serve_evidence
 from turmericcrank_node.control.rollout_leader import serve_rollout_leader
 from turmericcrank_node.event_log import EventLog
+from turmericcrank_node.http_transport import CheckedTransport
 from turmericcrank_node.membership.load_exchange import serve_load_exchange
 from turmericcrank_node.membership.peer_connections import (
     PeerConnections,
@@ -52,6 +53,19 @@
 __all__ = ('run_node',)
 
 _MAX_CONNECTIONS = 4096
+_POOLED_LIMITS = httpx.Limits(
+    max_connections=_MAX_CONNECTIONS,
+    max_keepalive_connections=_MAX_CONNECTIONS,
+)
+_SINGLE_USE_LIMITS = httpx.Limits(
+    max_connections=_MAX_CONNECTIONS, max_keepalive_connections=0
+)
+_MAX_STORE_CONNECTIONS = 100
+_MAX_IDLE_STORE_CONNECTIONS = 20
+_STORE_LIMITS = httpx.Limits(
+    max_connections=_MAX_STORE_CONNECTIONS,
+    max_keepalive_connections=_MAX_IDLE_STORE_CONNECTIONS,
+)
 _SHUTDOWN_GRACE_S = 2
 _MAX_FINAL_FLUSHES = 10
 _FINAL_FLUSH_DELAY_S = 0.2
@@ -123,19 +137,12 @@
     store_http = httpx.AsyncClient(
         base_url=settings.platform_url,
         timeout=settings.store_timeout_s,
-        verify=verify,
+        transport=CheckedTransport(verify, _STORE_LIMITS),
         trust_env=False,
     )
     timeout = httpx.Timeout(
         settings.read_timeout_s, connect=settings.connect_timeout_s
     )
-    pooled_limits = httpx.Limits(
-        max_connections=_MAX_CONNECTIONS,
-        max_keepalive_connections=_MAX_CONNECTIONS,
-    )
-    unpooled_limits = httpx.Limits(
-        max_connections=_MAX_CONNECTIONS, max_keepalive_connections=0
-    )
     ctx = NodeContext(
         settings=settings,
         log=EventLog(settings.node_id, settings.log_path),
@@ -143,14 +150,12 @@
         store=StoreClient(store_http),
         upstream_http=httpx.AsyncClient(
             timeout=timeout,
-            limits=pooled_limits,
-            verify=verify,
+            transport=CheckedTransport(verify, _POOLED_LIMITS),
             trust_env=False,
         ),
         single_use_http=httpx.AsyncClient(
             timeout=timeout,
-            limits=unpooled_limits,
-            verify=verify,
+            transport=CheckedTransport(verify, _SINGLE_USE_LIMITS),
             trust_env=False,
         ),
         random_source=random_source,
--- /dev/null
+++ b/tests/site/test_mixed_services.py
@@ -0,0 +1,65 @@
+"""Broken answers of services never reach clients of the own interface."""
+
+import pytest
+
+from tests.mixed_answers import UPLOAD, answer_bytes
+from tests.site.conftest import TestSite
+from tests.site.service_calls import call_service
+from tests.upstream_fakes import SendAndReset, response_bytes
+
+_PART = b'p' * 64
+_KINDS = ('non_idempotent_service', 'idempotent_service')
+
+
+@pytest.fixture(scope='module')
+def site():
+    started = TestSite()
+    try:
+        started.start_platform()
+        started.tables = {'routes': {}, 'pools': {}}
+        started.start_nodes(['n1'])
+        yield started
+    finally:
+        started.stop()
+
+
+@pytest.mark.parametrize('kind', _KINDS)
+def test_mixed_no_part_of_a_service_answer_that_is_reset_during_an_upload(
+    site, kind
+):
+    """The part was even stored, and sent again to a repeat of the call."""
+    responses, _ = call_service(
+        site,
+        [SendAndReset(answer_bytes(_PART))],
+        kind=kind,
+        body=UPLOAD,
+        n_calls=2,
+        reads_bodies=False,
+    )
+    assert [response.status_code for response in responses] == [503, 503]
+    assert not any(_PART in response.content for response in responses)
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        response_bytes(b'whole'),
+        answer_bytes(b'5\r\nwhole\r\n0\r\n\r\n', b'Transfer-Encoding: chunked'),
+    ],
+)
+def test_mixed_an_early_service_answer_that_is_whole_passes_despite_a_reset(
+    site, answer
+):
+    responses, _ = call_service(
+        site, [SendAndReset(answer)], body=UPLOAD, reads_bodies=False
+    )
+    assert responses[0].content == b'whole'
+
+
+@pytest.mark.parametrize('body', [UPLOAD, b'{}'])
+def test_mixed_a_service_answer_without_a_length_that_ends_in_order_passes(
+    site, body
+):
+    script = [answer_bytes(b'whole'), 'end', 0.3]
+    responses, _ = call_service(site, script, body=body)
+    assert responses[0].content == b'whole'
