Refuse answers whose status is not one of HTTP (MIXED)

What callers saw: an upstream in trouble answered with status 600 or 999. The client got it as an answer, with its body and signature.

Cause: the parser takes any status from 200 to 999, and nothing looked at it after that.

The statuses of HTTP are 100 to 599 (RFC 9110, 15): what lies outside is no status that could be returned. Clients differ: some libraries deliver 600, others raise an error where they build the response. As before, the request may have run: on the own interface the outcome of a call is unknown, and idempotent requests go to another upstream.

--- a/packages/node/src/turmericcrank_node/http_connection.py
+++ b/packages/node/src/turmericcrank_node/http_connection.py
@@ -18,6 +18,7 @@
     hold_bytes,
     release_hold,
 )
+from turmericcrank_core.response_heads import is_valid_status
 
 from turmericcrank_node.connection_end import CheckedStream
 
@@ -249,12 +250,18 @@
         if isinstance(event, ReadFault):
             return event
         if isinstance(event, h11.Response):
-            return ResponseHead(event.status_code, list(event.headers))
+            return _check_head(event)
         if not isinstance(event, h11.InformationalResponse):
             return ReadFault.ended_early
     return ReadFault.too_large
 
 
+def _check_head(response: h11.Response) -> ResponseHead | ReadFault:
+    if not is_valid_status(response.status_code):
+        return ReadFault.not_http
+    return ResponseHead(response.status_code, list(response.headers))
+
+
 async def read_body_part(
     connection: UpstreamConnection, read_bytes: int = _EVENT_READ_BYTES
 ) -> bytes | ReadFault | None:
--- a/packages/node/src/turmericcrank_node/http_transport.py
+++ b/packages/node/src/turmericcrank_node/http_transport.py
@@ -14,6 +14,7 @@
 
 import httpcore
 import httpx
+from turmericcrank_core.response_heads import is_valid_status
 
 from turmericcrank_node.connection_end import RESET_DETAIL, was_reset
 
@@ -71,6 +72,9 @@
                     extensions=request.extensions,
                 )
             )
+        if not is_valid_status(response.status):
+            await response.aclose()
+            raise httpx.RemoteProtocolError(f'status {response.status}')
         return httpx.Response(
             response.status,
             headers=response.headers,
--- a/tests/mixed_answers.py
+++ b/tests/mixed_answers.py
@@ -25,13 +25,12 @@
     return b'\r\n'.join([*first, *lines, b'', body])
 
 
-def call_upstream(way, script, n_requests=1, **fields):
-    """Send requests, each to an upstream that runs a script.
+def call_upstream(way, scripts, **fields):
+    """Send a request for each script of an upstream, one after another.
 
     Args:
         way: How the node reaches the upstream, one of ``WAYS``.
-        script: What the upstream does; see ``FakeUpstream``.
-        n_requests: How many requests are sent, one after another.
+        scripts: What the upstream does; see ``FakeUpstream``.
         fields: ``reads_bodies`` of the upstream, ``body`` of the requests, and
             fields of the route.
 
@@ -47,7 +46,7 @@
         async with trio.open_nursery() as nursery:
             site = await _start(nursery, way, route, reads_bodies)
             responses = []
-            for number in range(n_requests):
+            for number, script in enumerate(scripts):
                 site.scripts.append(script)
                 request = request_bytes('/bays/1', body=body, id=f'r{number}')
                 client = await open_client(nursery, site.state)
--- a/tests/serving/test_reset_uploads.py
+++ b/tests/serving/test_reset_uploads.py
@@ -38,8 +38,7 @@
     script = [SendAndReset(answer_bytes(_PART))]
     responses = call_upstream(
         way,
-        script,
-        _N_REQUESTS,
+        [script] * _N_REQUESTS,
         kind=kind,
         max_attempts=1,
         body=UPLOAD,
@@ -54,8 +53,7 @@
     script = [SendAndReset(answer_bytes(_EVENT, EVENT_STREAM))]
     responses = call_upstream(
         way,
-        script,
-        _N_REQUESTS,
+        [script] * _N_REQUESTS,
         kind=CallKind.stream,
         body=UPLOAD,
         reads_bodies=False,
@@ -95,8 +93,7 @@
 ):
     responses = call_upstream(
         way,
-        [SendAndReset(answer)],
-        _N_REQUESTS,
+        [[SendAndReset(answer)]] * _N_REQUESTS,
         body=UPLOAD,
         reads_bodies=False,
     )
@@ -109,8 +106,7 @@
     script = [SendAndReset(stream_head() + event_chunk(1) + END_CHUNK)]
     responses = call_upstream(
         way,
-        script,
-        _N_REQUESTS,
+        [script] * _N_REQUESTS,
         kind=CallKind.stream,
         body=UPLOAD,
         reads_bodies=False,
@@ -121,7 +117,7 @@
 @pytest.mark.parametrize('way', WAYS)
 def test_mixed_an_early_answer_without_a_length_that_ends_in_order_passes(way):
     script = [answer_bytes(b'whole'), 'end', 0.3]
-    responses = call_upstream(way, script, _N_REQUESTS, body=UPLOAD)
+    responses = call_upstream(way, [script] * _N_REQUESTS, body=UPLOAD)
     assert {response[9:12] for response in responses} == {b'200'}
     assert all(response.endswith(b'whole') for response in responses)
 
@@ -130,6 +126,6 @@
 def test_mixed_an_early_stream_without_a_length_that_ends_in_order_passes(way):
     script = [answer_bytes(_EVENT, EVENT_STREAM), 'end', 0.3]
     responses = call_upstream(
-        way, script, _N_REQUESTS, kind=CallKind.stream, body=UPLOAD
+        way, [script] * _N_REQUESTS, kind=CallKind.stream, body=UPLOAD
     )
     assert all(response.endswith(END_CHUNK) for response in responses)
--- a/tests/site/test_mixed_services.py
+++ b/tests/site/test_mixed_services.py
@@ -63,3 +63,17 @@
     script = [answer_bytes(b'whole'), 'end', 0.3]
     responses, _ = call_service(site, script, body=body)
     assert responses[0].content == b'whole'
+
+
+@pytest.mark.parametrize('status', [b'600', b'999'])
+def test_mixed_no_service_answer_whose_status_is_not_in_http(site, status):
+    answer = answer_bytes(b'whole', b'Content-Length: 5', status=status)
+    responses, _ = call_service(site, [answer])
+    assert responses[0].status_code == 503
+    assert b'whole' not in responses[0].content
+
+
+def test_mixed_a_service_answer_with_the_last_status_of_http_passes(site):
+    answer = answer_bytes(b'whole', b'Content-Length: 5', status=b'599')
+    responses, _ = call_service(site, [answer])
+    assert responses[0].status_code == 599
