--- a/packages/node/src/turmericcrank_node/http_connection.py
+++ b/packages/node/src/turmericcrank_node/http_connection.py
@@ -6,7 +6,6 @@
 """
 
 import enum
-import socket
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -21,16 +20,17 @@
 from turmericcrank_core.response_heads import is_valid_status
 
 from turmericcrank_node.connection_end import CheckedStream
+from turmericcrank_node.socket_options import (
+    UPSTREAM_KEEPALIVE,
+    set_socket_options,
+)
 
 __all__ = (
-    'CLIENT_KEEPALIVE',
     'CONNECTION_ERRORS',
     'MAX_COPIED_BYTES',
-    'UPSTREAM_KEEPALIVE',
     'ByteStream',
     'ConnectFault',
     'Headers',
-    'KeepaliveLimits',
     'ReadFault',
     'ResponseHead',
     'UpstreamConnection',
@@ -42,7 +42,6 @@
     'read_body_part',
     'read_response_head',
     'send_request',
-    'set_socket_options',
 )
 
 Headers = list[tuple[bytes, bytes]]
@@ -61,32 +60,6 @@
 # Smaller bodies are sent with the head, in one segment or a few.
 MAX_COPIED_BYTES = 65536
 _MAX_INTERIM_HEADS = 16
-_KEEPALIVE_PROBES = 2
-_UPSTREAM_UNACKNOWLEDGED_MS = 3000
-# Long, since a client may read slowly or be behind a saturated link. The
-# deadline of a request passes long before this timeout.
-_CLIENT_UNACKNOWLEDGED_MS = 40_000
-_CLIENT_IDLE_S = 15
-
-
-@dataclass(slots=True, frozen=True)
-class KeepaliveLimits:
-    """TCP timeouts that detect an unresponsive peer.
-
-    Attributes:
-        unacknowledged_ms: Longest time for which sent bytes may stay
-            unacknowledged, in milliseconds.
-        idle_s: Idle time before the first keepalive probe, in seconds.
-        interval_s: Time between two keepalive probes, in seconds.
-    """
-
-    unacknowledged_ms: int
-    idle_s: int
-    interval_s: int
-
-
-UPSTREAM_KEEPALIVE = KeepaliveLimits(_UPSTREAM_UNACKNOWLEDGED_MS, 2, 1)
-CLIENT_KEEPALIVE = KeepaliveLimits(_CLIENT_UNACKNOWLEDGED_MS, _CLIENT_IDLE_S, 5)
 
 
 class ConnectFault(enum.StrEnum):
@@ -160,19 +133,6 @@
         self.stream.socket.close()
 
 
-def set_socket_options(sock: Any, limits: KeepaliveLimits) -> None:
-    """Disable Nagle's algorithm and set the timeouts for a dead peer."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, number in (
-        (socket.TCP_USER_TIMEOUT, limits.unacknowledged_ms),
-        (socket.TCP_KEEPIDLE, limits.idle_s),
-        (socket.TCP_KEEPINTVL, limits.interval_s),
-        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, number)
-
-
 async def connect_upstream(
     host: str, port: int, timeout_s: float
 ) -> UpstreamConnection | ConnectFault:
--- a/packages/node/src/turmericcrank_node/serving/client_connection.py
+++ b/packages/node/src/turmericcrank_node/serving/client_connection.py
@@ -10,9 +10,7 @@
 )
 
 from turmericcrank_node.http_connection import (
-    CLIENT_KEEPALIVE,
     CONNECTION_ERRORS,
-    set_socket_options,
 )
 from turmericcrank_node.serving.client_exchange import (
     ClientExchange,
@@ -29,6 +27,10 @@
     READ_BYTES,
     read_request,
 )
+from turmericcrank_node.socket_options import (
+    CLIENT_KEEPALIVE,
+    set_socket_options,
+)
 
 __all__ = ('serve_client_connection',)
 
--- a/packages/node/src/turmericcrank_node/tunnel/tunnel_server.py
+++ b/packages/node/src/turmericcrank_node/tunnel/tunnel_server.py
@@ -14,10 +14,12 @@
 
 from turmericcrank_node.http_connection import (
     CONNECTION_ERRORS,
-    UPSTREAM_KEEPALIVE,
     ByteStream,
     ConnectFault,
     UpstreamConnection,
+)
+from turmericcrank_node.socket_options import (
+    UPSTREAM_KEEPALIVE,
     set_socket_options,
 )
 from turmericcrank_node.state.node_state import NodeState, read_boottime_s
