Refuse answers with a line of the head that begins with a blank (MIXED)

What callers saw: an upstream in trouble sent a head in which a line began with a blank or a tab, also one whose name is only a blank. The line was passed on, joined to the field before it: 'Content-Type: text/event-stream X-Foo: 1' with 200, on the own interface as well.

Cause: h11, also below httpx, unfolds such lines without a word, as old versions of HTTP allowed.

A name that begins with a blank is no name, and a sender must not fold. A gateway may refuse the response with 502 or replace the line break by blanks (RFC 9112, 5.2). It can't tell a folded value from a malformed field, and a length in such a line would give the body another end at another parser, so the answer is refused.

Change: check_lines in the core looks at the bytes of a head before the parser does, on the node's own connections and in the network streams of httpx. Trailers of chunked bodies are not forwarded, so they are not looked at.

--- a/packages/node/src/turmericcrank_node/http_connection.py
+++ b/packages/node/src/turmericcrank_node/http_connection.py
@@ -17,7 +17,11 @@
     hold_bytes,
     release_hold,
 )
-from turmericcrank_core.response_heads import is_valid_status
+from turmericcrank_core.response_heads import (
+    FoldedLineError,
+    check_lines,
+    is_valid_status,
+)
 
 from turmericcrank_node.connection_end import CheckedStream
 from turmericcrank_node.socket_options import (
@@ -300,7 +304,9 @@
     is_received = False
     while True:
         try:
-            event = parser.next_event()
+            event = _parse_event(parser)
+        except FoldedLineError:
+            return ReadFault.not_http
         except h11.RemoteProtocolError:
             return _classify_protocol_error(parser)
         if event is not h11.NEED_DATA:
@@ -316,6 +322,12 @@
     return event
 
 
+def _parse_event(parser: h11.Connection) -> Any:
+    if parser.their_state is h11.SEND_RESPONSE:
+        check_lines(parser.trailing_data[0])
+    return parser.next_event()
+
+
 def _classify_protocol_error(parser: h11.Connection) -> ReadFault:
     """Distinguish an early end of the connection from invalid HTTP."""
     _rest, is_ended = parser.trailing_data
--- a/packages/node/src/turmericcrank_node/http_transport.py
+++ b/packages/node/src/turmericcrank_node/http_transport.py
@@ -1,10 +1,11 @@
-"""Transport of ``httpx`` on which a reset never looks like an orderly end.
+"""Transport of ``httpx`` that checks how responses begin and end.
 
 ``httpcore`` ignores a failed write and reads on, as a server may respond
 without reading a request to its end. On trio it would then take a reset for
-the end of a body without a length, see ``connection_end``. Its network backend
-is therefore wrapped, and ``httpx`` gets a transport on that backend: both by
-their documented interfaces.
+the end of a body without a length, see ``connection_end``. Its parser also
+takes heads that a gateway should refuse, see ``response_heads``. The network
+backend of trio is therefore wrapped, and ``httpx`` gets a transport on that
+backend: both by their documented interfaces.
 """
 
 import contextlib
@@ -14,7 +15,11 @@
 
 import httpcore
 import httpx
-from turmericcrank_core.response_heads import is_valid_status
+from turmericcrank_core.response_heads import (
+    FoldedLineError,
+    check_lines,
+    is_valid_status,
+)
 
 from turmericcrank_node.connection_end import RESET_DETAIL, was_reset
 
@@ -130,20 +135,28 @@
 class _CheckedNetworkStream(httpcore.AsyncNetworkStream):
     """Stream on which a reset never looks like an orderly end.
 
+    It also rejects response heads with folded lines, as the parser above it
+    joins them.
+
     Args:
         stream: Stream of trio, or of TLS on trio.
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
+        # Bytes of an incomplete response head; None while none is expected.
+        self._head: bytes | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         received = await self._stream.read(max_bytes, timeout)
         if not received and was_reset(self.get_extra_info('socket')):
             raise httpcore.ReadError(RESET_DETAIL)
+        if self._head is not None:
+            self._head = _check_head(self._head + received)
         return received
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        self._head = b''
         await self._stream.write(buffer, timeout)
 
     async def aclose(self) -> None:
@@ -163,6 +176,14 @@
         return self._stream.get_extra_info(property_name)
 
 
+def _check_head(raw: bytes) -> bytes | None:
+    """Check what has arrived of a response head, see ``check_lines``."""
+    try:
+        return check_lines(raw)
+    except FoldedLineError as error:
+        raise httpcore.RemoteProtocolError(str(error)) from error
+
+
 def _make_url(url: httpx.URL) -> httpcore.URL:
     return httpcore.URL(
         scheme=url.raw_scheme,
--- a/tests/serving/test_mixed_heads.py
+++ b/tests/serving/test_mixed_heads.py
@@ -26,7 +26,7 @@
 
 
 def _answer(*lines, status=b'200'):
-    return answer_bytes(_EVENT, EVENT_STREAM, _LENGTH, *lines, status=status)
+    return answer_bytes(_EVENT, _LENGTH, EVENT_STREAM, *lines, status=status)
 
 
 @pytest.mark.parametrize('kind', KINDS)
@@ -42,3 +42,34 @@
     statuses = [b'200', b'299', b'404', b'599']
     answers = [_answer(status=status) for status in statuses]
     assert _call(way, kind, answers) == statuses
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('way', WAYS)
+def test_mixed_no_answer_with_a_line_that_begins_with_a_blank(way, kind):
+    """Such a line used to be joined to the value of the field before it."""
+    folded = [b' X-Foo: 1', b'\tContent-Length: 4', b' : 1', b' ', b'\t']
+    answers = [_answer(line, b'X-Bar: 1') for line in folded]
+    # The last line of a head.
+    answers.append(_answer(b' X-Foo: 1'))
+    answers.append(b'HTTP/1.1 103 X\r\nLink: x\r\n y\r\n\r\n%s' % _answer())
+    answers.append(_answer(b' X-Foo: 1').replace(b'\r\n', b'\n'))
+    assert _call(way, kind, answers) == [b'502'] * len(answers)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('way', WAYS)
+def test_mixed_no_answer_whose_folded_line_arrives_in_parts(way, kind):
+    head, _, rest = _answer(b' X-Foo: 1').partition(b' X-Foo')
+    scripts = [[head, 0.1, b' X-Foo%s' % rest]]
+    responses = call_upstream(way, scripts, kind=kind)
+    assert responses[0][9:12] == b'502'
+
+
+@pytest.mark.parametrize('way', WAYS)
+def test_mixed_a_body_with_lines_that_begin_with_a_blank_passes(way):
+    body = b'one\n two\r\n\r\n\tthree'
+    interim = b'HTTP/1.1 103 X\r\nLink: x\r\n\r\n'
+    answer = answer_bytes(body, b'Content-Length: %d' % len(body))
+    responses = call_upstream(way, [[answer], [interim + answer]])
+    assert all(response.endswith(body) for response in responses)
--- a/tests/site/test_mixed_services.py
+++ b/tests/site/test_mixed_services.py
@@ -77,3 +77,15 @@
     answer = answer_bytes(b'whole', b'Content-Length: 5', status=b'599')
     responses, _ = call_service(site, [answer])
     assert responses[0].status_code == 599
+
+
+@pytest.mark.parametrize('line', [b' X-Foo: 1', b'\tContent-Length: 4', b' '])
+def test_mixed_no_service_answer_with_a_line_that_begins_with_a_blank(
+    site, line
+):
+    answer = answer_bytes(
+        b'whole', b'Content-Type: text/plain', line, b'Content-Length: 5'
+    )
+    responses, _ = call_service(site, [answer])
+    assert responses[0].status_code == 503
+    assert 'X-Foo' not in responses[0].headers['Content-Type']
