Test that status 000 and malformed names of fields are refused (held)

What other systems saw: an answer with status 000, or one in whose head the name of a field held a blank or a control byte, reached the client.

So nothing changes but the tests, which cover what had only been run by hand and directly: 8 malformed statuses and 15 names (as plain lines, on the signature, the length and the transfer encoding), direct and through a tunnel, plain and streamed, and the own interface.

--- a/tests/mixed_answers.py
+++ b/tests/mixed_answers.py
@@ -16,6 +16,26 @@
 WAYS = ('direct', 'tunnel')
 UPLOAD = b'x' * 900_000
 EVENT_STREAM = b'Content-Type: text/event-stream'
+# Statuses that are none, or that no final answer may have.
+BAD_STATUSES = (b'000', b'099', b'020', b'0200', b'20', b'2x0', b'-20', b'101')
+# Lines whose name holds a blank or a control byte, or is empty.
+BAD_LINES = (
+    b'X Foo: 1',
+    b'X-Foo : 1',
+    b'X\tFoo: 1',
+    b'X-Foo\t: 1',
+    b'X\x01Foo: 1',
+    b'X\x7fFoo: 1',
+    b'X\x00Foo: 1',
+    b'X\x0bFoo: 1',
+    b'X\rFoo: 1',
+    b': 1',
+    b'signed : yes',
+    b'Content-Length : 4',
+    b'Content-Length\x00: 4',
+    b'Transfer-Encoding : chunked',
+    b'Transfer\x7fEncoding: chunked',
+)
 _REQUEST_S = 4
 
 
--- a/tests/serving/test_mixed_heads.py
+++ b/tests/serving/test_mixed_heads.py
@@ -8,6 +8,8 @@
 from turmericcrank_core.routing import CallKind
 
 from tests.mixed_answers import (
+    BAD_LINES,
+    BAD_STATUSES,
     EVENT_STREAM,
     WAYS,
     answer_bytes,
@@ -29,6 +31,21 @@
     return answer_bytes(_EVENT, _LENGTH, EVENT_STREAM, *lines, status=status)
 
 
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('way', WAYS)
+def test_mixed_no_answer_with_a_malformed_status_such_as_000(way, kind):
+    answers = [_answer(status=status) for status in BAD_STATUSES]
+    assert _call(way, kind, answers) == [b'502'] * len(answers)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('way', WAYS)
+def test_mixed_no_answer_with_a_blank_or_control_byte_in_a_name(way, kind):
+    answers = [_answer(line) for line in BAD_LINES]
+    answers += [answer_bytes(_EVENT, EVENT_STREAM, line) for line in BAD_LINES]
+    assert _call(way, kind, answers) == [b'502'] * len(answers)
+
+
 @pytest.mark.parametrize('kind', KINDS)
 @pytest.mark.parametrize('way', WAYS)
 def test_mixed_no_answer_whose_status_is_not_in_http(way, kind):
--- a/tests/site/test_mixed_services.py
+++ b/tests/site/test_mixed_services.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from tests.mixed_answers import UPLOAD, answer_bytes
+from tests.mixed_answers import (
+    BAD_LINES,
+    BAD_STATUSES,
+    UPLOAD,
+    answer_bytes,
+)
 from tests.site.conftest import TestSite
 from tests.site.service_calls import call_service
 from tests.upstream_fakes import SendAndReset, response_bytes
@@ -65,6 +70,26 @@
     assert responses[0].content == b'whole'
 
 
+@pytest.mark.parametrize('status', BAD_STATUSES)
+def test_mixed_no_service_answer_with_a_malformed_status_such_as_000(
+    site, status
+):
+    answer = answer_bytes(b'whole', b'Content-Length: 5', status=status)
+    responses, _ = call_service(site, [answer])
+    assert responses[0].status_code == 503
+    assert b'whole' not in responses[0].content
+
+
+@pytest.mark.parametrize('line', BAD_LINES)
+def test_mixed_no_service_answer_with_a_blank_or_control_byte_in_a_name(
+    site, line
+):
+    answer = answer_bytes(b'whole', b'Content-Length: 5', line)
+    responses, _ = call_service(site, [answer])
+    assert responses[0].status_code == 503
+    assert b'whole' not in responses[0].content
+
+
 @pytest.mark.parametrize('status', [b'600', b'999'])
 def test_mixed_no_service_answer_whose_status_is_not_in_http(site, status):
     answer = answer_bytes(b'whole', b'Content-Length: 5', status=status)
