Take the end of a socket that is closed meanwhile for no orderly one

What callers would see: where this process closes a connection while a read of it returns, the question for its state raised EBADF. The node's own connections handle that, httpx does not translate it, so a request could end in an error of ours instead of an unknown outcome. Found with the relay of the demo, which ended by it; not seen in a node.

Cause: trio lets other tasks run after a read has returned.

Change: ended_in_order replaces was_reset; such an end is not in order.

--- a/packages/node/src/turmericcrank_node/connection_end.py
+++ b/packages/node/src/turmericcrank_node/connection_end.py
@@ -12,7 +12,7 @@
 
 import trio
 
-__all__ = ('RESET_DETAIL', 'CheckedStream', 'was_reset')
+__all__ = ('RESET_DETAIL', 'CheckedStream', 'ended_in_order')
 
 RESET_DETAIL = 'the connection was reset'
 # State of a socket in Linux after a reset or a timeout. After an orderly close
@@ -20,19 +20,21 @@
 _TCP_CLOSE = 7
 
 
-def was_reset(sock: Any) -> bool:
-    """Return whether a connection was reset, or timed out, in any direction.
+def ended_in_order(sock: Any) -> bool:
+    """Return whether the end that a read has found is an orderly one.
+
+    It is not if the connection was reset or timed out in any direction, or if
+    this process has closed the socket meanwhile.
 
     Args:
         sock: TCP socket whose sending side this process has not closed.
 
-    Raises:
-        OSError: If the socket is closed.
-
     Source: ``TCP_INFO`` in tcp(7); its first byte is the state.
     """
+    if sock.fileno() < 0:
+        return False
     state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-    return state[0] == _TCP_CLOSE
+    return bool(state[0] != _TCP_CLOSE)
 
 
 @dataclass(slots=True)
@@ -61,6 +63,6 @@
             trio.BrokenResourceError: If the connection was reset.
         """
         received = await self.stream.receive_some(max_bytes)
-        if not received and was_reset(self.socket):
+        if not received and not ended_in_order(self.socket):
             raise trio.BrokenResourceError(RESET_DETAIL)
         return received
--- a/packages/node/src/turmericcrank_node/http_transport.py
+++ b/packages/node/src/turmericcrank_node/http_transport.py
@@ -21,7 +21,7 @@
     is_valid_status,
 )
 
-from turmericcrank_node.connection_end import RESET_DETAIL, was_reset
+from turmericcrank_node.connection_end import RESET_DETAIL, ended_in_order
 
 __all__ = ('CheckedTransport',)
 
@@ -149,7 +149,7 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         received = await self._stream.read(max_bytes, timeout)
-        if not received and was_reset(self.get_extra_info('socket')):
+        if not received and not ended_in_order(self.get_extra_info('socket')):
             raise httpcore.ReadError(RESET_DETAIL)
         if self._head is not None:
             self._head = _check_head(self._head + received)
