Let the relay of a site pass a reset on as a reset

What a test would miss: cut_relay stands between nodes and the platform, and between nodes, in the tests of partitions. Where one end reset its connection, the relay closed the other one in order. A node behind it would take a part of an answer without a length for a whole one, and no test could see it.

Cause: it closed both ends the same way after an error and after an end, and it believed a read after a failed write.

Evidence: tests/site/test_cut_relay.py: a server sends a part and resets. Of 8 requests without a body 8 ended in order before (of 8 uploads none, as unread bytes make a close a reset); now all 16 end by a reset.

Change: the relay reads with the node's CheckedStream and resets both ends where one was reset. A partition still closes its connections as before.

--- a/packages/dev/src/turmericcrank_dev/cut_relay.py
+++ b/packages/dev/src/turmericcrank_dev/cut_relay.py
@@ -2,19 +2,24 @@
 
 Run by ``python -m turmericcrank_dev.cut_relay``. SIGUSR1 starts the
 partition: open connections are closed, and new ones are accepted but not
-forwarded. SIGUSR2 ends it.
+forwarded. SIGUSR2 ends it. A connection that is reset at one end is reset at
+the other one, too.
 """
 
 import signal
+import socket
+import struct
 from typing import Any
 
 import fire
 import trio
+from turmericcrank_node.connection_end import CheckedStream
 
 __all__ = ('main',)
 
 _READ_BYTES = 65536
 _HANG_S = 3600
+_RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 
 
 class _Relay:
@@ -59,13 +64,11 @@
             )
         except OSError:
             return
+        client = CheckedStream(client_stream)
+        server = CheckedStream(server_stream)
         async with server_stream, trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _copy, client_stream, server_stream, nursery.cancel_scope
-            )
-            nursery.start_soon(
-                _copy, server_stream, client_stream, nursery.cancel_scope
-            )
+            nursery.start_soon(_copy, client, server, nursery.cancel_scope)
+            nursery.start_soon(_copy, server, client, nursery.cancel_scope)
 
 
 def main(port: int, target_port: int) -> None:
@@ -85,17 +88,26 @@
         await trio.serve_tcp(relay.serve, port, host='127.0.0.1')
 
 
-async def _copy(source: Any, sink: Any, scope: trio.CancelScope) -> None:
+async def _copy(
+    source: CheckedStream, sink: CheckedStream, scope: trio.CancelScope
+) -> None:
+    """Forward until one end closes; reset both if one was reset."""
     try:
-        while True:
-            received = await source.receive_some(_READ_BYTES)
-            if not received:
-                break
+        while received := await source.receive_some(_READ_BYTES):
             await sink.send_all(received)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
-        received = b''
+        _reset(source)
+        _reset(sink)
     scope.cancel()
 
 
+def _reset(stream: CheckedStream) -> None:
+    if stream.socket.fileno() >= 0:
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE
+        )
+        stream.socket.close()
+
+
 if __name__ == '__main__':
     fire.Fire(main)
