Let the demo's client take no answer with an unknown end for a booking

What the demo would miss: a node that answers an upload early, without a length, and resets. The client of the demo and of the site tests, on httpx, counted the part as a complete booking. Nodes always send a length or chunks, so this shows a fault only of a node that does not.

Cause: httpcore ignores the failed write; the read after it sees a plain end.

Change: an answer of a node with neither a length nor chunks has no known end and counts as broken. Streams were safe, they end with their last event. The load tool and bare_relay are as before: they send small bodies, which are written before an answer begins, so the read gets the report of a reset.

--- a/packages/dev/src/turmericcrank_dev/caller.py
+++ b/packages/dev/src/turmericcrank_dev/caller.py
@@ -148,6 +148,8 @@
             response = self._http.post(url, json=body, headers=headers)
         except httpx.HTTPError:
             return Outcome(_NO_RESPONSE_STATUS)
+        if not _has_known_end(response):
+            return Outcome(_NO_RESPONSE_STATUS)
         text = response.text
         if response.is_success and 'chat' in url:
             text = response.json()['choices'][0]['message']['content']
@@ -171,6 +173,16 @@
             return _read_outcome(response, ''.join(deltas), is_complete)
 
 
+def _has_known_end(response: httpx.Response) -> bool:
+    """Return whether a response has a length or chunks, as nodes send it.
+
+    Without them it ends with its connection, and ``httpx`` may take a reset
+    during an upload for that end.
+    """
+    headers = response.headers
+    return 'Content-Length' in headers or 'Transfer-Encoding' in headers
+
+
 def _read_delta(line: str) -> str:
     event = json.loads(line.removeprefix('data: '))
     if 'error' in event:
