--- a/tests/node/test_connection_end.py
+++ b/tests/node/test_connection_end.py
@@ -11,8 +11,14 @@
 _ARRIVAL_S = 0.05
 
 
-def _run(act, *, is_reset=False):
-    """Run ``act`` with a connection whose other end sent a part and closed."""
+def _run(act, *, is_reset=False, upload=b''):
+    """Run ``act`` with a connection whose other end sent a part and closed.
+
+    Args:
+        act: What is done with the connection.
+        is_reset: Whether the other end resets it.
+        upload: Bytes that the other end has not read when it closes in order.
+    """
 
     async def main():
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
@@ -20,6 +26,9 @@
         stream = await trio.open_tcp_stream(*address)
         other = await listeners[0].accept()
         await other.send_all(b'part')
+        if upload:
+            await stream.send_all(upload)
+            await other.send_eof()
         if is_reset:
             other.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
         other.socket.close()
@@ -63,6 +72,12 @@
     assert outcome == (errno.ECONNRESET, (b'part', False))
 
 
+def test_mixed_an_end_before_a_reset_of_the_upload_is_not_in_order():
+    """An upstream that is killed while it reads an upload ends so, too."""
+    outcome = _run(_write_and_read, upload=b'unread')
+    assert outcome == (errno.EPIPE, (b'part', False))
+
+
 def test_mixed_an_end_whose_socket_is_closed_meanwhile_is_not_in_order():
     """It raised an error of the system, which httpx does not translate."""
 
