Check interim heads without copying what follows them

Found while reading the change: an upstream that sends interim responses without end made check_lines copy the rest of the received bytes for each of them.

--- a/packages/core/src/turmericcrank_core/response_heads.py
+++ b/packages/core/src/turmericcrank_core/response_heads.py
@@ -34,16 +34,16 @@
     Raises:
         FoldedLineError: If a line begins with a blank or a tab.
     """
+    start = 0
     while True:
-        found = _HEAD_END_OR_FOLD.search(raw)
+        found = _HEAD_END_OR_FOLD.search(raw, start)
         if found is None:
-            return raw
+            return raw[start:]
         if found.group(1) in _BLANKS:
             raise FoldedLineError('a line of the head begins with a blank')
-        if not _INTERIM_STATUS.match(raw):
+        if not _INTERIM_STATUS.match(raw, start):
             return None
-        head_bytes = found.end()
-        raw = raw[head_bytes:]
+        start = found.end()
 
 
 def is_valid_status(status: int) -> bool:
