Keep the port of a fake upstream that refuses connections

Cause, suspected there and now shown: an upstream that refuses connections had closed its port, and the kernel gave it to the next listener of the test.

Change: once connections are refused, a socket that does not listen keeps the port.

--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -38,8 +38,10 @@
         requests: Heads of the received requests, by lower-case header name.
         closed_s: Times at which clients closed a connection during a script.
         address: Listening address.
+        is_refusing: Whether it refuses further connections.
         listening: Cancelled to stop accepting connections.
         listener: Duplicate of the listening socket.
+        port_keeper: Socket that keeps the port once connections are refused.
         queued_sockets: Sockets that fill the listen queue.
     """
 
@@ -48,8 +50,10 @@
     requests: list = field(default_factory=list)
     closed_s: list = field(default_factory=list)
     address: str = ''
+    is_refusing: bool = False
     listening: trio.CancelScope = field(default_factory=trio.CancelScope)
     listener: socket.socket | None = None
+    port_keeper: socket.socket | None = None
     queued_sockets: list = field(default_factory=list)
 
     async def serve(self, task_status):
@@ -65,12 +69,23 @@
                     handler_nursery=answering,
                     task_status=task_status,
                 )
+            if self.is_refusing:
+                self._keep_port()
 
     def refuse_connections(self):
-        """Refuse further connections."""
+        """Refuse further connections, at a port that nothing else gets."""
+        self.is_refusing = True
         self.listener.close()
         self.listening.cancel()
 
+    def _keep_port(self):
+        """Bind the port without listening, so that connections are refused."""
+        host, _, port = self.address.partition(':')
+        self.port_keeper = socket.socket()
+        # Connections of the port may still be open.
+        self.port_keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.port_keeper.bind((host, int(port)))
+
     def stop_accepting(self):
         """Stop accepting, and fill the listen queue so that connects hang."""
         self.listening.cancel()
