Send an operator's call on where a response breaks off

What operators would see: a traceback of the command line where a node's response ends by a reset during an upload (tables may be long). The part is JSON that breaks off, so it was never taken for an answer, but no other node was asked either. Nodes send a length, so it needs a node that does not.

Cause: as in the other clients on httpx the read after the failed write sees a plain end; the error of the decoder was not handled.

A call carries an idempotency token, so it is applied once.

--- a/packages/client/src/turmericcrank_client/node_calls.py
+++ b/packages/client/src/turmericcrank_client/node_calls.py
@@ -31,7 +31,8 @@
 class NodeClient:
     """Sends each call to the first available node.
 
-    Unreachable nodes and nodes that respond with status 503 are skipped.
+    Unreachable nodes, nodes whose response breaks off and nodes that respond
+    with status 503 are skipped.
 
     Args:
         settings: Validated settings.
@@ -58,9 +59,10 @@
     def post(self, path: str, body: Any) -> Result[Any, CallError]:
         """Write through the first available node.
 
-        After a connection error or status 503 the call is sent to the next
-        node, although it may have taken effect. The body must carry an
-        idempotency token, so that the call is applied only once.
+        After a connection error, a response that broke off or status 503 the
+        call is sent to the next node, although it may have taken effect. The
+        body must carry an idempotency token, so that the call is applied only
+        once.
         """
         return self._send('POST', path, body)
 
@@ -76,13 +78,25 @@
                 call_error = CallError(0, f'{node}: {error!r}')
                 continue
             if response.is_success:
-                return Ok(response.json())
+                decoded = _decode_body(node, response)
+                if decoded.is_ok():
+                    return decoded
+                call_error = decoded.error
+                continue
             call_error = _decode_error(node, response)
             if response.status_code != _UNAVAILABLE:
                 break
         return Error(call_error)
 
 
+def _decode_body(node: str, response: httpx.Response) -> Result[Any, CallError]:
+    """Decode the body of a success; one that broke off is no JSON."""
+    try:
+        return Ok(response.json())
+    except ValueError as error:
+        return Error(CallError(0, f'{node}: {error!r}'))
+
+
 def _decode_error(node: str, response: httpx.Response) -> CallError:
     try:
         details = response.json()['error']
