Let the sound neighbours of the reset tests not depend on speed

Found by reading: the stand-in that ends an answer in order closed its socket 0.3 s later, so a node that takes longer for 900 kB (beside load) would see a reset and refuse a sound answer. It now stays open until the test ends. The server of the clients' tests raised an error in its thread where a client closed before it sent a head. 64 tests pass; a slow machine was not played.

--- a/tests/early_resets.py
+++ b/tests/early_resets.py
@@ -49,10 +49,10 @@
 
 def _serve_connection(answer, is_reset, connection):
     request = _read_until(connection, lambda read: _HEAD_END in read)
-    if not is_reset:
-        _read_until(connection, _is_whole, request)
     if not request:
         return
+    if not is_reset:
+        _read_until(connection, _is_whole, request)
     connection.sendall(answer)
     if is_reset:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
--- a/tests/serving/test_reset_uploads.py
+++ b/tests/serving/test_reset_uploads.py
@@ -28,6 +28,8 @@
 )
 
 _N_REQUESTS = 8
+# Longer than any request here takes; the end of a test cuts it short.
+_OPEN_S = 30.0
 _EVENT = b'id: 1\ndata: x\n\n'
 _PART = b'p' * 64
 
@@ -118,7 +120,7 @@
 
 @pytest.mark.parametrize('way', WAYS)
 def test_mixed_an_early_answer_without_a_length_that_ends_in_order_passes(way):
-    script = [answer_bytes(b'whole'), 'end', 0.3]
+    script = [answer_bytes(b'whole'), 'end', _OPEN_S]
     responses = call_upstream(way, [script] * _N_REQUESTS, body=UPLOAD)
     assert {response[9:12] for response in responses} == {b'200'}
     assert all(response.endswith(b'whole') for response in responses)
@@ -126,7 +128,7 @@
 
 @pytest.mark.parametrize('way', WAYS)
 def test_mixed_an_early_stream_without_a_length_that_ends_in_order_passes(way):
-    script = [answer_bytes(_EVENT, EVENT_STREAM), 'end', 0.3]
+    script = [answer_bytes(_EVENT, EVENT_STREAM), 'end', _OPEN_S]
     responses = call_upstream(
         way, [script] * _N_REQUESTS, kind=CallKind.stream, body=UPLOAD
     )
--- a/tests/site/test_mixed_services.py
+++ b/tests/site/test_mixed_services.py
@@ -13,6 +13,8 @@
 from tests.upstream_fakes import SendAndReset, response_bytes
 
 _PART = b'p' * 64
+# Longer than any request here takes; the end of a test cuts it short.
+_OPEN_S = 30.0
 _KINDS = ('non_idempotent_service', 'idempotent_service')
 
 
@@ -65,7 +67,7 @@
 def test_mixed_a_service_answer_without_a_length_that_ends_in_order_passes(
     site, body
 ):
-    script = [answer_bytes(b'whole'), 'end', 0.3]
+    script = [answer_bytes(b'whole'), 'end', _OPEN_S]
     responses, _ = call_service(site, script, body=body)
     assert responses[0].content == b'whole'
 
