--- a/tests/serving/test_reset_uploads.py
+++ b/tests/serving/test_reset_uploads.py
@@ -34,32 +34,29 @@
 _PART = b'p' * 64
 
 
-@pytest.mark.parametrize('kind', [CallKind.non_idempotent, CallKind.idempotent])
-@pytest.mark.parametrize('way', WAYS)
-def test_mixed_no_part_of_an_answer_that_is_reset_during_an_upload(way, kind):
-    script = [SendAndReset(answer_bytes(_PART))]
-    responses = call_upstream(
+def _upload(way, answer, **fields):
+    """Return the responses to uploads that an upstream answers and resets."""
+    return call_upstream(
         way,
-        [script] * _N_REQUESTS,
-        kind=kind,
-        max_attempts=1,
+        [[SendAndReset(answer)]] * _N_REQUESTS,
         body=UPLOAD,
         reads_bodies=False,
+        **fields,
     )
+
+
+@pytest.mark.parametrize('kind', [CallKind.non_idempotent, CallKind.idempotent])
+@pytest.mark.parametrize('way', WAYS)
+def test_mixed_no_part_of_an_answer_that_is_reset_during_an_upload(way, kind):
+    responses = _upload(way, answer_bytes(_PART), kind=kind, max_attempts=1)
     statuses = {response[9:12] for response in responses}
     assert statuses == {b'502'}
 
 
 @pytest.mark.parametrize('way', WAYS)
 def test_mixed_no_end_of_a_stream_that_is_reset_during_an_upload(way):
-    script = [SendAndReset(answer_bytes(_EVENT, EVENT_STREAM))]
-    responses = call_upstream(
-        way,
-        [script] * _N_REQUESTS,
-        kind=CallKind.stream,
-        body=UPLOAD,
-        reads_bodies=False,
-    )
+    answer = answer_bytes(_EVENT, EVENT_STREAM)
+    responses = _upload(way, answer, kind=CallKind.stream)
     # An event may have been passed on before the reset.
     assert {response[9:12] for response in responses} <= {b'200', b'502'}
     assert not any(response.endswith(END_CHUNK) for response in responses)
@@ -95,26 +92,15 @@
 def test_mixed_an_early_answer_that_is_whole_passes_despite_a_reset(
     way, answer
 ):
-    responses = call_upstream(
-        way,
-        [[SendAndReset(answer)]] * _N_REQUESTS,
-        body=UPLOAD,
-        reads_bodies=False,
-    )
+    responses = _upload(way, answer)
     assert {response[9:12] for response in responses} == {b'200'}
     assert all(b'whole' in response for response in responses)
 
 
 @pytest.mark.parametrize('way', WAYS)
 def test_mixed_an_early_stream_that_is_whole_passes_despite_a_reset(way):
-    script = [SendAndReset(stream_head() + event_chunk(1) + END_CHUNK)]
-    responses = call_upstream(
-        way,
-        [script] * _N_REQUESTS,
-        kind=CallKind.stream,
-        body=UPLOAD,
-        reads_bodies=False,
-    )
+    answer = stream_head() + event_chunk(1) + END_CHUNK
+    responses = _upload(way, answer, kind=CallKind.stream)
     assert all(response.endswith(END_CHUNK) for response in responses)
 
 
